--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from lapisfield import Controller
-from lapisfield import interface as api
+from wickstep import Controller
+from wickstep import interface as api
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -1,7 +1,7 @@
 """One small test for each failure found on the bench; each fails without its guard."""
 
-from lapisfield import interface as api
-from lapisfield.brain import MARK, MARK_MOST, P_MIN, T_M, WINDOW_LEAST
+from wickstep import interface as api
+from wickstep.brain import MARK, MARK_MOST, P_MIN, T_M, WINDOW_LEAST
 
 from .helpers import BASIC, LONG, MS, SECOND, Host, entry, finals, sent_to
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lapisfield import interface as api
-from lapisfield.brain import MARK, P_MIN, STEP_MOST, T_M, TARGET, WEIGHT
+from wickstep import interface as api
+from wickstep.brain import MARK, P_MIN, STEP_MOST, T_M, TARGET, WEIGHT
 
 from .helpers import MS, SECOND, Host, finals, sent_to
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lapisfield import interface as api
+from wickstep import interface as api
 
 from .helpers import LONG, MS, SECOND, Host, entry, sent_to
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from lapisfield import benchlink
-from lapisfield import interface as api
+from wickstep import benchlink
+from wickstep import interface as api
 
 ROOT = Path(__file__).parent.parent
 CONF: dict[str, Any] = {
--- a/lapisfield/benchlink.py
+++ b/wickstep/benchlink.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from lapisfield import interface as api
-from lapisfield.brain import Controller
+from wickstep import interface as api
+from wickstep.brain import Controller
 
 EFFECTS = {
     "read_like": api.Effect.SAFE,
--- a/lapisfield/brain.py
+++ b/wickstep/brain.py
@@ -1,4 +1,4 @@
-"""All decisions of the edge controller. Types, events and actions: see `lapisfield/interface.py`.
+"""All decisions of the edge controller. Types, events and actions: see `wickstep/interface.py`.
 
 Reading order: what is remembered, the ordinary path, outcomes, control loop, cold and failing servers, list.
 The mechanism is loss-based overload control after Rogowski and Tarasiuk; docs/design.md lists each departure.
@@ -14,8 +14,8 @@
 from itertools import accumulate
 from typing import Any
 
-from lapisfield import interface as api
-from lapisfield.interface import Outcome, ServerState
+from wickstep import interface as api
+from wickstep.interface import Outcome, ServerState
 
 SECOND = 1_000_000_000
 T_M = SECOND // 5  # sampling interval of the occupancy
