--- /dev/null
+++ b/wickstep/net/__init__.py
@@ -0,0 +1,99 @@
+"""The softswitch on sockets: what its parts say to each other about a call.
+
+This file owns the message objects that stand above every wire. It must never name a code, a type number or
+a parameter of any protocol: a codec turns bytes into these objects and back, and all else sees only the
+objects, so that a second protocol can go through the same stages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Reason(Enum):
+    """Why a set-up or a call was released."""
+
+    CLEARED = "cleared"  # before the answer: given up; after it: the call has come to its end
+    FULL = "full"  # it never ran
+    BUSY = "busy"
+    FAULT = "fault"
+    INTERRUPTED = "interrupted"  # the set-up broke on its way, or the call was cut
+    MOOT = "moot"  # it never left
+    CONGESTED = "congested"  # refused: trying again is harmless
+    FAILED = "failed"
+    MALFORMED = "malformed"
+    OTHER = "other"
+
+
+class Note(Enum):
+    """What a setup server adds to a release."""
+
+    NO_CIRCUIT = "no_circuit"
+    OVERLOAD = "overload"
+    LINES_BUSY = "lines_busy"
+
+
+Report = Mapping[str, float]  # a setup server's figures, named as its settings name them
+
+
+@dataclass(slots=True, frozen=True)
+class SetUp:
+    call: int
+    klass: str
+    wait_ms: int  # how long the sender waits for the answer
+    number: str  # the number called
+    description: bytes
+    first_choice: int = -1
+    repeat: bool = False  # the caller dialled again
+    again: bool = False  # the call was cut and comes again
+
+
+@dataclass(slots=True, frozen=True)
+class Progress:
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    call: int
+    description: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    call: int
+    reason: Reason
+    note: Note | None = None
+    stay_away_ms: int = 0  # 0: no advice
+    report: Report = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class ReleaseHeard:
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Test:
+    __test__ = False  # not a test case, whatever pytest may think of the name
+    call: int
+    probe: bool = False  # a report is wanted
+
+
+@dataclass(slots=True, frozen=True)
+class TestResult:
+    __test__ = False
+    call: int
+    passed: bool
+    report: Report = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class GroupState:
+    call: int
+    report: Report
+
+
+Message = SetUp | Progress | Answer | Release | ReleaseHeard | Test | TestResult | GroupState
--- /dev/null
+++ b/wickstep/net/bulletin.py
@@ -0,0 +1,189 @@
+"""The bulletin client: a thread that follows the numbered changes of the list of setup servers.
+
+This file owns the HTTP/1.1 of the bulletin and the reading of its events. It must never judge a server or
+skip an event: what it has read goes to the loop in order, and a bulletin that is silent, slow or talks
+nonsense costs this thread only.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import ujson
+
+from wickstep.interface import ServerState
+from wickstep.net import links
+
+log = logging.getLogger(__name__)
+
+PATIENCE_MS = 2000  # how long the bulletin may hold a call: a dead connection is noticed soon after
+GRACE_S = 1.0  # what the answer may take on top of that
+PAUSE_S = 0.1  # after a failure
+ANSWER_MOST = 4 * 1024 * 1024
+STATES = {"Ready": ServerState.ACTIVE, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
+
+
+class BadAnswer(Exception):
+    """What came from the bulletin cannot be read."""
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """One line of the list."""
+
+    host: str
+    dial: str
+    number: int
+    state: ServerState
+    born_ms: int  # Unix time of a late start; 0: long ago
+
+
+@dataclass(slots=True, frozen=True)
+class Roster:
+    """One event of the bulletin."""
+
+    number: int
+    whole: bool
+    hosts: tuple[Listed, ...]
+
+
+def read_events(answer: Any) -> tuple[int, list[Roster]]:
+    """The last number and the events of `known` or of an answer."""
+    try:
+        events = []
+        for item in answer["items"]:
+            roster = item.get("roster")
+            if roster is None:
+                continue  # an event of another kind
+            hosts = tuple(_listed(line) for line in roster["hosts"])
+            events.append(Roster(int(item["no"]), bool(roster.get("whole")), hosts))
+        return int(answer["no"]), events
+    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        raise BadAnswer(f"an event cannot be read: {trouble!r}") from trouble
+
+
+def _listed(line: Any) -> Listed:
+    return Listed(
+        host=str(line["host"]),
+        dial=str(line["dial"]),
+        number=int(line["block"]),
+        state=STATES[line["health"]],
+        born_ms=int(line.get("born_ms") or 0),
+    )
+
+
+class Client:
+    """Calls the bulletin again and again and hands each event on."""
+
+    def __init__(self, where: str, after: int, hand_on: Callable[[Roster], None]) -> None:
+        self._where, self._after, self._hand_on = where, after, hand_on
+        self._sock: socket.socket | None = None
+        self._rest = b""
+
+    def start(self) -> None:
+        threading.Thread(target=self._follow, daemon=True).start()
+
+    def _follow(self) -> None:
+        while True:
+            try:
+                self.once()
+            except (OSError, BadAnswer) as trouble:
+                log.warning("bulletin: %s", trouble)
+                self._hang_up()
+                time.sleep(PAUSE_S)
+
+    def once(self) -> None:
+        """One call; what it brought is handed on."""
+        last, events = read_events(self._get(f"/bulletins?after={self._after}&patience={PATIENCE_MS}"))
+        for event in events:
+            if event.number > self._after:
+                self._hand_on(event)
+                self._after = event.number
+        self._after = max(self._after, last)
+
+    def _hang_up(self) -> None:
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.close()
+        self._sock, self._rest = None, b""
+
+    def _get(self, path: str) -> Any:
+        if self._sock is None:
+            self._sock = socket.create_connection(links.address(self._where), timeout=GRACE_S)
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # One clock for the whole answer: a bulletin that drips a byte now and then must not hold us for ever.
+        until = time.monotonic() + PATIENCE_MS / 1000 + GRACE_S
+        request = f"GET {path} HTTP/1.1\r\nHost: {self._where}\r\nAccept: application/json\r\n\r\n"
+        self._sock.sendall(request.encode())
+        head = self._until(b"\r\n\r\n", until).decode("latin-1").split("\r\n")
+        status = head[0].split(" ", 2)
+        if len(status) < 2 or not status[0].startswith("HTTP/1.") or status[1] != "200":
+            raise BadAnswer(f"status line {head[0]!r}")
+        fields = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in head[1:] if line)
+        }
+        if "chunked" in fields.get("transfer-encoding", "").lower():
+            body = self._chunks(until)
+        else:
+            body = self._exactly(self._size(fields.get("content-length", ""), 10), until)
+        if fields.get("connection", "").lower() == "close" or status[0] == "HTTP/1.0":
+            self._hang_up()
+        try:
+            return ujson.loads(body)
+        except ValueError as trouble:
+            raise BadAnswer("the body is not JSON") from trouble
+
+    def _size(self, text: str, base: int) -> int:
+        try:
+            size = int(text, base)
+        except ValueError as trouble:
+            raise BadAnswer(f"length {text!r}") from trouble
+        if not 0 <= size <= ANSWER_MOST:
+            raise BadAnswer(f"length {size}")
+        return size
+
+    def _chunks(self, until: float) -> bytes:
+        body = b""
+        while True:
+            size = self._size(self._until(b"\r\n", until).decode("latin-1").split(";")[0].strip(), 16)
+            if size == 0:
+                while self._until(b"\r\n", until):
+                    pass  # trailers
+                return body
+            body += self._exactly(size, until)
+            if self._exactly(2, until) != b"\r\n" or len(body) > ANSWER_MOST:
+                raise BadAnswer("a chunk does not end where it should")
+
+    def _until(self, mark: bytes, until: float) -> bytes:
+        while mark not in self._rest:
+            if len(self._rest) > links.CHUNK:
+                raise BadAnswer("a head without end")
+            self._more(until)
+        found, _, self._rest = self._rest.partition(mark)
+        return found
+
+    def _exactly(self, size: int, until: float) -> bytes:
+        while len(self._rest) < size:
+            self._more(until)
+        found, self._rest = self._rest[:size], self._rest[size:]
+        return found
+
+    def _more(self, until: float) -> None:
+        if self._sock is None:
+            raise BadAnswer("hung up")
+        left = until - time.monotonic()
+        if left <= 0:
+            raise BadAnswer("no whole answer in time")
+        self._sock.settimeout(left)
+        data = self._sock.recv(links.CHUNK)
+        if not data:
+            raise BadAnswer("closed by the bulletin")
+        self._rest += data
--- /dev/null
+++ b/wickstep/net/codec.py
@@ -0,0 +1,242 @@
+"""The binary protocol: bytes to message objects and back.
+
+This file owns every code, type number and parameter of the wire; none is named anywhere else. It must never
+touch a socket, keep state about a call or read a clock, and it must never raise anything but `Malformed` on
+what a peer has sent.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from enum import IntEnum
+
+from wickstep.net import (
+    Answer,
+    GroupState,
+    Message,
+    Note,
+    Progress,
+    Reason,
+    Release,
+    ReleaseHeard,
+    Report,
+    SetUp,
+    Test,
+    TestResult,
+)
+
+MOST = 16 * 1024  # of a whole message, its length field included
+HEAD = struct.Struct(">HBQ")
+PARAMETER = struct.Struct(">BH")
+LENGTH_FIELD = 2
+LEAST = HEAD.size - LENGTH_FIELD
+
+
+class Kind(IntEnum):
+    """The type of a message."""
+
+    SET_UP = 1
+    PROGRESS = 6
+    ANSWER = 9
+    RELEASE = 12
+    RELEASE_HEARD = 16
+    GROUP_STATE = 43
+    TEST = 52
+    TEST_RESULT = 53
+
+
+P_CLASS, P_WAIT, P_REPEAT, P_NUMBER, P_FIGURES = 64, 65, 67, 68, 69
+P_STAY_AWAY, P_NOTE, P_REPORT, P_CAUSE, P_DESCRIPTION = 70, 71, 73, 78, 79
+
+CAUSES = {
+    Reason.CLEARED: 16,
+    Reason.BUSY: 17,
+    Reason.FULL: 34,
+    Reason.INTERRUPTED: 41,
+    Reason.CONGESTED: 42,
+    Reason.FAULT: 47,
+    Reason.MOOT: 102,
+    Reason.FAILED: 31,  # normal, unspecified
+    Reason.MALFORMED: 111,  # protocol error
+    Reason.OTHER: 31,
+}
+REASONS = {cause: reason for reason, cause in CAUSES.items()}
+NOTES = {"no_circuit": Note.NO_CIRCUIT, "overload": Note.OVERLOAD, "lines_busy": Note.LINES_BUSY}
+
+
+class Malformed(Exception):
+    """The peer has sent what the protocol does not allow."""
+
+
+class Splitter:
+    """Cuts one connection's bytes into messages."""
+
+    def __init__(self) -> None:
+        self._rest = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        self._rest += data
+        while len(self._rest) >= LENGTH_FIELD:
+            length = int.from_bytes(self._rest[:LENGTH_FIELD], "big")
+            # The length is judged before the rest is awaited: a wrong one must not make us hold 64 KiB.
+            if not LEAST <= length <= MOST - LENGTH_FIELD:
+                raise Malformed(f"a message of length {length}")
+            end = LENGTH_FIELD + length
+            if len(self._rest) < end:
+                return
+            raw = bytes(self._rest[:end])
+            del self._rest[:end]
+            message = decode(raw)
+            if message is not None:
+                yield message
+
+
+def decode(raw: bytes) -> Message | None:
+    """One whole message, its length field included; None for a type that this side has no use for."""
+    _, kind, call = HEAD.unpack_from(raw)
+    values = _parameters(raw)
+    cause = values.get(P_CAUSE, b"")
+    if len(cause) > 1:
+        raise Malformed("a cause of more than one byte")
+    match kind:
+        case Kind.SET_UP:
+            return _set_up(call, values)
+        case Kind.PROGRESS:
+            return Progress(call)
+        case Kind.ANSWER:
+            return Answer(call, values.get(P_DESCRIPTION, b""))
+        case Kind.RELEASE:
+            if not cause:
+                raise Malformed("a release without a cause")
+            return Release(
+                call,
+                REASONS.get(cause[0], Reason.OTHER),
+                NOTES.get(_text(values, P_NOTE)),
+                _number(values, P_STAY_AWAY),
+                _report(values),
+            )
+        case Kind.RELEASE_HEARD:
+            return ReleaseHeard(call)
+        case Kind.TEST:
+            return Test(call, cause == b"\x01")
+        case Kind.TEST_RESULT:
+            return TestResult(call, cause == b"\x01", _report(values))
+        case Kind.GROUP_STATE:
+            return GroupState(call, _report(values))
+    return None
+
+
+def _parameters(raw: bytes) -> dict[int, bytes]:
+    values: dict[int, bytes] = {}
+    position, end = HEAD.size, len(raw)
+    while position < end:
+        if position + PARAMETER.size > end:
+            raise Malformed("a parameter is cut off")
+        code, length = PARAMETER.unpack_from(raw, position)
+        position += PARAMETER.size
+        if position + length > end:
+            raise Malformed(f"parameter {code} is cut off")
+        values[code] = raw[position : position + length]
+        position += length
+    return values
+
+
+def _text(values: dict[int, bytes], code: int) -> str:
+    try:
+        return values.get(code, b"").decode()
+    except UnicodeDecodeError as trouble:
+        raise Malformed(f"parameter {code} is not text") from trouble
+
+
+def _number(values: dict[int, bytes], code: int, absent: int = 0) -> int:
+    text = _text(values, code)
+    if not text:
+        return absent
+    # At most ten digits: Python would read thousands, at quadratic cost.
+    if not (text.isascii() and text.isdecimal() and len(text) <= 10):
+        raise Malformed(f"parameter {code} is not a number")
+    return int(text)
+
+
+def _figures(values: dict[int, bytes], code: int) -> dict[str, float]:
+    """`name:value;name:value`; a value may be left open as `-`."""
+    figures: dict[str, float] = {}
+    for pair in filter(None, _text(values, code).split(";")):
+        name, colon, value = pair.partition(":")
+        if not colon:
+            raise Malformed(f"parameter {code} holds a figure without a value")
+        if value in ("", "-"):
+            continue
+        try:
+            figures[name] = float(value)
+        except ValueError as trouble:
+            raise Malformed(f"parameter {code} holds a figure that is no number") from trouble
+    return figures
+
+
+def _report(values: dict[int, bytes]) -> Report:
+    return _figures(values, P_REPORT)
+
+
+def _set_up(call: int, values: dict[int, bytes]) -> SetUp:
+    figures = _figures(values, P_FIGURES)
+    wanted = figures.get("dest", -1.0)
+    return SetUp(
+        call=call,
+        klass=_text(values, P_CLASS),
+        wait_ms=_number(values, P_WAIT),
+        number=_text(values, P_NUMBER),
+        description=values.get(P_DESCRIPTION, b""),
+        first_choice=int(wanted) if wanted.is_integer() else -1,
+        repeat=_text(values, P_REPEAT) == "1",
+        again=figures.get("again") == 1.0,
+    )
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of one message; only what belongs to its receiver goes out."""
+    values: list[tuple[int, bytes]] = []
+    match message:
+        case SetUp():
+            kind = Kind.SET_UP
+            values = [
+                (P_CLASS, message.klass.encode()),
+                (P_WAIT, b"%d" % message.wait_ms),
+                (P_NUMBER, message.number.encode()),
+                (P_DESCRIPTION, message.description),
+            ]
+        case Progress():
+            kind = Kind.PROGRESS
+        case Answer():
+            kind = Kind.ANSWER
+            values = [(P_DESCRIPTION, message.description)]
+        case Release():
+            kind = Kind.RELEASE
+            values = [(P_CAUSE, bytes([CAUSES[message.reason]]))]
+            if message.stay_away_ms:
+                values.append((P_STAY_AWAY, b"%d" % message.stay_away_ms))
+            if message.note:
+                values.append((P_NOTE, message.note.value.encode()))
+            values += _report_out(message.report)
+        case ReleaseHeard():
+            kind = Kind.RELEASE_HEARD
+        case Test():
+            kind = Kind.TEST
+            values = [(P_CAUSE, bytes([message.probe]))]
+        case TestResult():
+            kind = Kind.TEST_RESULT
+            values = [(P_CAUSE, bytes([message.passed])), *_report_out(message.report)]
+        case GroupState():
+            kind = Kind.GROUP_STATE
+            values = _report_out(message.report)
+    body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in values)
+    whole = HEAD.pack(LEAST + len(body), kind, message.call) + body if len(body) < MOST else b""
+    if not whole or len(whole) > MOST:
+        raise Malformed("a message over 16 KiB")
+    return whole
+
+
+def _report_out(report: Report) -> list[tuple[int, bytes]]:
+    text = ";".join(f"{name}:{value:g}" for name, value in report.items())
+    return [(P_REPORT, text.encode())] if text else []
--- /dev/null
+++ b/wickstep/net/links.py
@@ -0,0 +1,234 @@
+"""Connections and their threads: a reader and a writer each, one thread that accepts, one for a connect.
+
+This file owns the sockets. Readers parse and enqueue, writers drain a bounded outbox, connects run aside.
+It must never decide anything about a call, and nothing here that the loop calls may ever block: a peer that
+is silent or does not read costs its own two threads and nothing else.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import SimpleQueue
+from typing import Any
+
+from wickstep.net import Message, codec
+
+log = logging.getLogger(__name__)
+
+STACK = 128 * 1024  # two threads a connection, hundreds of connections
+OUTBOX_MOST = 256 * 1024  # bytes; a peer that leaves so much unread is not reading
+AHEAD_MOST = 32  # messages of one connection that may wait for the loop
+CHUNK = 16 * 1024
+BACKLOG = 256
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+# What the threads tell the loop.
+
+
+@dataclass(slots=True, frozen=True)
+class Came:
+    link: Link
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Opened:
+    link: Link
+
+
+@dataclass(slots=True, frozen=True)
+class Closed:
+    link: Link
+    malformed: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class DialFailed:
+    owner: Any
+    refused: bool
+
+
+Inbox = SimpleQueue[Any]  # its put may be called in a signal handler, which queue.Queue's may not
+
+
+class Link:
+    """One connection. Made for a socket that is connected; `owner` means whatever the loop wants it to."""
+
+    def __init__(self, sock: socket.socket, inbox: Inbox, owner: Any) -> None:
+        self.owner = owner
+        self.sock = sock
+        self.inbox = inbox
+        self.closed = False  # the loop's word for it; the threads notice by their socket
+        self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
+        self._ahead = threading.Semaphore(AHEAD_MOST)
+        self._outbox: deque[bytes] = deque()
+        self._waiting = 0
+        self._more = threading.Condition()
+        self._last = False  # nothing may be added, what is there is still written
+        self._users = 2  # threads that still use the socket
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(None)
+
+    def start(self) -> None:
+        """Start the writer and the reader; raises RuntimeError if the machine has no thread left."""
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self) -> None:
+        """The same on a thread that is there already, which becomes the reader."""
+        try:
+            threading.Thread(target=self._write, daemon=True).start()
+        except RuntimeError as trouble:
+            log.warning("no thread for a writer: %s", trouble)
+            self._leave()
+            self.close()
+        self._read()
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; False if the connection is closing or the peer has not read for long."""
+        data = codec.encode(message)
+        with self._more:
+            if self._last:
+                return False
+            if self._waiting + len(data) <= OUTBOX_MOST:
+                self._outbox.append(data)
+                self._waiting += len(data)
+                self._more.notify()
+                return True
+        self.close()
+        return False
+
+    def taken(self) -> None:
+        """The loop has dealt with one message: the reader may go on."""
+        self._ahead.release()
+
+    def close(self) -> None:
+        """Close at once; both threads come back and the reader says so."""
+        with self._more:
+            self._last = True
+            self._outbox.clear()
+            self._more.notify()
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+    def drained(self) -> bool:
+        return self._waiting == 0
+
+    def _read(self) -> None:
+        splitter = codec.Splitter()
+        malformed = False
+        try:
+            while data := self.sock.recv(CHUNK):
+                for message in splitter.feed(data):
+                    self._ahead.acquire()
+                    self.inbox.put(Came(self, message))
+        except codec.Malformed as trouble:
+            log.warning("closing a connection: %s", trouble)
+            malformed = True
+        except OSError:
+            pass  # reset: the same as closed
+        self.close()
+        self._leave()
+        self.inbox.put(Closed(self, malformed))
+
+    def _write(self) -> None:
+        while True:
+            with self._more:
+                while not self._outbox and not self._last:
+                    self._more.wait()
+                if not self._outbox:
+                    break
+                data = b"".join(self._outbox)
+                self._outbox.clear()
+            try:
+                self.sock.sendall(data)
+            except OSError:
+                self.close()
+                break
+            with self._more:
+                self._waiting -= len(data)
+        self._leave()
+
+    def _leave(self) -> None:
+        # The descriptor is freed by the last of the two: freed earlier, its number may be another's.
+        with self._more:
+            self._users -= 1
+            last = self._users == 0
+        if last:
+            self.sock.close()
+
+
+class Listener:
+    """Accepts callers on one address."""
+
+    def __init__(self, where: str, inbox: Inbox, room: Callable[[], bool]) -> None:
+        self._inbox, self._room = inbox, room
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(address(where))
+        self._sock.listen(BACKLOG)
+
+    @property
+    def where(self) -> tuple[str, int]:
+        name: tuple[str, int] = self._sock.getsockname()
+        return name
+
+    def start(self) -> None:
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError as trouble:
+                if self._sock.fileno() < 0:
+                    return
+                # Out of descriptors or aborted by the peer: neither may end the accepting for good.
+                log.warning("accept: %s", trouble)
+                time.sleep(0.02)
+                continue
+            if not self._room():
+                sock.close()
+                continue
+            try:
+                link = Link(sock, self._inbox, None)
+                self._inbox.put(Opened(link))
+                link.start()
+            except (OSError, RuntimeError) as trouble:
+                log.warning("a caller's connection could not be served: %s", trouble)
+                sock.close()
+
+
+def dial(where: str, timeout_us: int, inbox: Inbox, owner: Any) -> None:
+    """Connect aside. The loop is told `Opened` or `DialFailed`."""
+
+    def connect() -> None:
+        try:
+            sock = socket.create_connection(address(where), timeout=timeout_us / 1e6)
+        except (OSError, ValueError) as trouble:
+            inbox.put(DialFailed(owner, isinstance(trouble, ConnectionRefusedError)))
+            return
+        link = Link(sock, inbox, owner)
+        inbox.put(Opened(link))
+        link.run()
+
+    try:
+        threading.Thread(target=connect, daemon=True).start()
+    except RuntimeError:
+        inbox.put(DialFailed(owner, False))
--- /dev/null
+++ b/wickstep/net/softswitch.py
@@ -0,0 +1,753 @@
+"""The softswitch's loop, the stages a request passes, and the one bridge to the controller.
+
+This file owns all state about calls and servers: one thread, the loop's, reads the inbox, reads the clock
+once a turn, and hands each message to its stage (take in, admit, route, send, relay, book). It must never
+block on a peer, never decide what the controller decides (whether, where and when a set-up goes), and never
+let a call end with no final answer or with two.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import logging
+import os
+import sys
+import time
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from queue import Empty, SimpleQueue
+from typing import Any
+
+import ujson
+
+from wickstep import interface as api
+from wickstep.benchlink import REPORT_FIELDS, read_settings
+from wickstep.brain import Controller
+from wickstep.interface import Outcome, ServerState
+from wickstep.net import (
+    Answer,
+    GroupState,
+    Message,
+    Note,
+    Reason,
+    Release,
+    ReleaseHeard,
+    SetUp,
+    Test,
+    TestResult,
+    bulletin,
+    links,
+)
+from wickstep.net.links import Came, Closed, DialFailed, Link, Opened
+
+log = logging.getLogger(__name__)
+
+MS = 1000  # microseconds, the unit of every time in this file
+SECOND = 1000 * MS
+NS = 1000  # nanoseconds in a microsecond: the controller's unit
+
+MARGIN = 10 * MS  # a call is given up so long before its caller would, or the two would cross
+PROBE_WAIT = 250 * MS
+REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
+REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
+NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
+STOP_MOST = 3400 * MS  # the kill comes no sooner than 3.7 s
+TURN_MOST = 1000  # messages dealt with in one turn
+CALLER_SHARE = 0.5  # of the descriptors; callers hold a third at most, this guards the rest
+
+SERVER_OUTCOMES = {
+    Reason.FULL: Outcome.FULL,
+    Reason.BUSY: Outcome.ERROR,
+    Reason.FAULT: Outcome.ERROR,
+    Reason.MOOT: Outcome.MOOT,
+    Reason.INTERRUPTED: Outcome.RESET,
+}
+
+
+@dataclass(slots=True)
+class Config:
+    """What the deployment tells this softswitch."""
+
+    name: str
+    listen: str
+    seed: int
+    sockets: int
+    bulletin: str
+    known: Any
+    settings: api.Settings
+    classes: dict[str, int]
+    report_names: dict[str, str]
+    max_open: int
+    dial_timeout: int
+
+    @classmethod
+    def read(cls, text: str | bytes) -> Config:
+        raw = ujson.loads(text)
+        conf = raw["settings"]
+        limits = conf["limits"]
+        # A report names its figures as the settings do, or by their place among them.
+        columns = conf.get("stats", {}).get("columns", [])
+        names = {**REPORT_FIELDS, "x0": "free", "x1": "lines"}
+        return cls(
+            name=str(raw["name"]),
+            listen=str(raw["listen"]),
+            seed=int(str(raw["seed"]), 16),
+            sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            bulletin=str(raw["bulletin"]),
+            known=raw.get("known") or {"no": 0, "items": []},
+            settings=read_settings(conf),
+            classes={str(item["name"]): place for place, item in enumerate(conf["classes"])},
+            report_names={name: known for name, known in names.items() if name in columns or name[0] == "x"},
+            max_open=int(limits.get("max_open") or 20000),
+            dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
+        )
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """A setup server, known by its host: its address may be another's later."""
+
+    host: str
+    dial: str
+    number: int
+    state: ServerState
+    born: int  # 0: long ago
+    link: Link | None = None
+    dialing: bool = False
+    lost: bool = False  # the last connection broke, and none has come up since
+    redial_after: int = REDIAL_FIRST
+    waiting: list[Attempt] = field(default_factory=list)  # for a connection
+    attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: out, or standing
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    call: Call
+    index: int
+    server: Server
+    sent_at: int
+    limit_at: int
+    link: Link | None = None  # None: still waiting for one
+    stands: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A call from its set-up to its end."""
+
+    number: int  # the controller's id for it
+    wire: int  # its id in messages
+    set_up: SetUp
+    klass: int
+    caller: Link
+    deadline: int
+    attempts: int = 0
+    attempt: Attempt | None = None  # the one that is out, or stands
+
+
+class Floor:
+    """What the stages share: the clock, the timers, the tables and the counters."""
+
+    def __init__(self, config: Config, now: int) -> None:
+        self.config = config
+        self.now = now
+        self.inbox: links.Inbox = SimpleQueue()
+        self.timers: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.servers: dict[str, Server] = {}
+        self.open: dict[int, Call] = {}  # by the id in messages: no final answer yet
+        self.numbers: dict[int, Call] = {}  # the same by the controller's id
+        self.callers: dict[Link, None] = {}  # connections from callers, oldest first
+        self.counts: Counter[str] = Counter()
+        self.list_known = False
+        self.stopping_at = 0
+
+    def at(self, due: int, do: Callable[[], None]) -> None:
+        heapq.heappush(self.timers, (due, next(self.order), do))
+
+
+class Book:
+    """Last stage: the one final answer of each call, releases towards callers, and the counters."""
+
+    def __init__(self, floor: Floor) -> None:
+        self.floor = floor
+        self.ended: OrderedDict[int, int] = OrderedDict()  # id -> when
+        self.unsent: list[Release] = []  # no caller's connection was open
+
+    def final(self, call: Call, message: Answer | Release, kind: str) -> bool:
+        """The final answer; False if the call has had it."""
+        if self.floor.open.pop(call.wire, None) is None:
+            return False
+        self.floor.numbers.pop(call.number, None)
+        call.caller.calls.pop(call.wire, None)
+        self.floor.counts[f"answered_{kind}"] += 1
+        if not isinstance(message, Answer):
+            self.remember(call.wire)
+        if not call.caller.send(message):
+            self.floor.counts["answers_undeliverable"] += 1
+        return True
+
+    def gone(self, call: Call) -> None:
+        """The caller has left: nothing is owed."""
+        if self.floor.open.pop(call.wire, None) is not None:
+            self.floor.numbers.pop(call.number, None)
+            call.caller.calls.pop(call.wire, None)
+            self.floor.counts["callers_left"] += 1
+            self.remember(call.wire)
+
+    def released(self, release: Release, caller: Link | None) -> None:
+        """Release a call that stood, on its own connection or any other from callers."""
+        self.remember(release.call)
+        for link in (*([caller] if caller else []), *reversed(self.floor.callers)):
+            if not link.closed and link.send(release):
+                self.floor.counts["releases_sent"] += 1
+                return
+        self.unsent.append(release)
+
+    def opened(self, link: Link) -> None:
+        """Releases that found no connection go out on the next."""
+        waiting, self.unsent = self.unsent, []
+        for release in waiting:
+            self.released(release, link)
+
+    def remember(self, wire: int) -> None:
+        now = self.floor.now
+        self.ended[wire] = now
+        while self.ended and next(iter(self.ended.values())) < now - REMEMBERED:
+            self.ended.popitem(last=False)
+
+
+class Route:
+    """The bridge to the controller: microseconds and messages here, its events and actions there.
+
+    What an action brings about at once (a cancelled attempt, a connection refused) is told after the actions
+    before it are done: the controller is never called from within its own answer.
+    """
+
+    def __init__(self, floor: Floor) -> None:
+        config = floor.config
+        self.floor = floor
+        self.controller = Controller(config.settings, config.seed)
+        self.news: deque[api.Event] = deque()
+        self.busy = False
+        self.acts: dict[type, Callable[[Any], None]] = {}  # filled by the softswitch that owns the stages
+
+    def tell(self, event: api.Event) -> None:
+        self.news.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.news:
+                for action in self.controller.handle(self.news.popleft(), self.floor.now * NS):
+                    self.acts[type(action)](action)
+        finally:
+            self.busy = False
+
+    def wake(self, action: api.Wake) -> None:
+        due = -(-action.due // NS)
+        self.floor.at(due, lambda: self.tell(api.TimerDue(action.token)))
+
+    def report(self, figures: Mapping[str, float]) -> dict[str, float]:
+        names = self.floor.config.report_names
+        return {names[name]: value for name, value in figures.items() if name in names}
+
+    def ended(self, attempt: Attempt, outcome: Outcome, over: bool, release: Release | None = None) -> None:
+        self.floor.counts[f"attempts_{outcome.value}"] += 1
+        self.tell(
+            api.AttemptEnded(
+                call=attempt.call.number,
+                attempt=attempt.index,
+                server=attempt.server.host,
+                outcome=outcome,
+                took=(self.floor.now - attempt.sent_at) * NS,
+                call_over=over,
+                callee_busy=release is not None and release.note is Note.LINES_BUSY,
+                report=self.report(release.report) if release else {},
+            )
+        )
+
+
+class Send:
+    """Attempts on their way to setup servers, and the connections they need."""
+
+    def __init__(self, floor: Floor, route: Route, book: Book) -> None:
+        self.floor, self.route, self.book = floor, route, book
+        self.probes: dict[int, tuple[Server, int]] = {}
+        self.probe_ids = itertools.count(floor.config.seed & 0xFFFFFFFF0000 | 1 << 63)
+
+    def send(self, action: api.Send) -> None:
+        call, server = self.floor.numbers.get(action.call), self.floor.servers.get(action.server)
+        if call is None:
+            return
+        now = self.floor.now
+        attempt = Attempt(
+            call,
+            call.attempts,
+            server or Server(action.server, "", -1, ServerState.GONE, 0),
+            now,
+            min(now + max(action.limit // NS, 1), call.deadline),
+        )
+        call.attempts += 1
+        if (
+            server is None
+            or call.attempt is not None
+            or call.attempts > self.floor.config.settings.max_attempts
+        ):
+            return self.route.ended(attempt, Outcome.MOOT, over=False)
+        call.attempt = server.attempts[call.wire] = attempt
+        self.floor.at(attempt.limit_at, lambda: self.expire(attempt))
+        self._write(attempt)
+
+    def _write(self, attempt: Attempt) -> None:
+        server, call = attempt.server, attempt.call
+        wait_ms = max((attempt.limit_at - self.floor.now) // MS, 1)
+        onward = SetUp(call.wire, call.set_up.klass, wait_ms, call.set_up.number, call.set_up.description)
+        if server.link is not None and server.link.send(onward):
+            attempt.link = server.link
+            self.floor.counts["set_ups_sent"] += 1
+            return
+        server.link = None  # closing, if there was one
+        server.waiting.append(attempt)
+        self.connect(server)
+
+    def drop(self, attempt: Attempt) -> None:
+        """Take an attempt that is over out of the tables."""
+        attempt.server.attempts.pop(attempt.call.wire, None)
+        if attempt in attempt.server.waiting:
+            attempt.server.waiting.remove(attempt)
+        if attempt.call.attempt is attempt:
+            attempt.call.attempt = None
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Stop an attempt that is out, towards its server too."""
+        self.drop(attempt)
+        if attempt.link is not None:
+            attempt.link.send(Release(attempt.call.wire, Reason.CLEARED))
+        elif outcome is Outcome.TIMEOUT:
+            outcome = Outcome.CONNECT_FAILED  # it never left: nothing may be held against the call
+        self.route.ended(attempt, outcome, over=attempt.call.wire not in self.floor.open)
+
+    def expire(self, attempt: Attempt) -> None:
+        if attempt.call.attempt is attempt and not attempt.stands:
+            self.give_up(attempt, Outcome.TIMEOUT)
+
+    def cancel(self, action: api.Cancel) -> None:
+        call = self.floor.numbers.get(action.call)
+        attempt = call.attempt if call else None
+        if attempt is not None and attempt.index == action.attempt and not attempt.stands:
+            self.give_up(attempt, Outcome.CANCELLED)
+
+    # Connections to servers.
+
+    def connect(self, server: Server) -> None:
+        if server.link is None and not server.dialing and server.state is not ServerState.GONE:
+            server.dialing = True
+            self.floor.counts["dials"] += 1
+            links.dial(server.dial, self.floor.config.dial_timeout, self.floor.inbox, server)
+
+    def opened(self, link: Link, server: Server) -> None:
+        server.dialing = False
+        if server.state is ServerState.GONE or server.link is not None:
+            return link.close()
+        server.link, server.lost, server.redial_after = link, False, REDIAL_FIRST
+        waiting, server.waiting = server.waiting, []
+        for attempt in waiting:
+            self._write(attempt)
+
+    def failed(self, failure: DialFailed) -> None:
+        server: Server = failure.owner
+        server.dialing = False
+        self.floor.counts["dials_refused" if failure.refused else "dials_failed"] += 1
+        waiting, server.waiting = server.waiting, []
+        for attempt in waiting:
+            self.drop(attempt)
+            self.route.ended(attempt, Outcome.CONNECT_FAILED, over=attempt.call.wire not in self.floor.open)
+        if failure.refused and server.lost:
+            # Reset, and now nobody listens: the process has died, and its calls with it. The bulletin says so
+            # seconds later, and the callers are to be told within one.
+            self.cut(server, self.floor.now)
+        self.floor.at(self.floor.now + server.redial_after, lambda: self.connect(server))
+        server.redial_after = min(2 * server.redial_after, REDIAL_MOST)
+
+    def closed(self, link: Link, server: Server) -> None:
+        """The set-ups open on a connection are given up with it; a call that stands belongs to none."""
+        if server.link is link:
+            server.link, server.lost = None, True
+        for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
+            self.drop(attempt)
+            self.route.ended(attempt, Outcome.RESET, over=attempt.call.wire not in self.floor.open)
+        self.connect(server)
+
+    def cut(self, server: Server, before: int) -> None:
+        """The process that served until then is gone: what stood or was out there is cut."""
+        for attempt in [a for a in server.attempts.values() if a.sent_at <= before]:
+            if attempt in server.waiting:
+                continue
+            self.drop(attempt)
+            if attempt.stands:
+                self.floor.counts["calls_cut"] += 1
+                self.book.released(Release(attempt.call.wire, Reason.INTERRUPTED), attempt.call.caller)
+            self.route.ended(attempt, Outcome.RESET, over=attempt.call.wire not in self.floor.open)
+
+    # Probes.
+
+    def probe(self, action: api.Probe) -> None:
+        server = self.floor.servers.get(action.server)
+        if server is None or server.link is None:
+            return
+        number = next(self.probe_ids)
+        if server.link.send(Test(number, probe=True)):
+            self.floor.counts["probes_sent"] += 1
+            self.probes[number] = (server, self.floor.now)
+            self.floor.at(self.floor.now + PROBE_WAIT, lambda: self.probe_over(number))
+
+    def probe_over(self, number: int) -> None:
+        self.probed(number, None)
+
+    def probed(self, number: int, figures: Mapping[str, float] | None) -> bool:
+        """A probe is answered, or (with no figures) its time is up."""
+        server, at = self.probes.pop(number, (None, 0))
+        if server is None:
+            return False
+        report = self.route.report(figures or {})
+        took = (self.floor.now - at) * NS
+        self.route.tell(api.ProbeAnswered(server.host, figures is not None, took, report))
+        return True
+
+
+class Relay:
+    """What setup servers say about a call, on to its caller, and a caller's release to its server."""
+
+    def __init__(self, floor: Floor, route: Route, send: Send, book: Book) -> None:
+        self.floor, self.route, self.send, self.book = floor, route, send, book
+        self.standing: dict[int, Attempt] = {}
+
+    def answer(self, server: Server, message: Answer) -> None:
+        attempt = server.attempts.get(message.call)
+        if attempt is None or attempt.stands or attempt.link is None:
+            self.floor.counts["strays"] += 1  # an answer to what has been given up; the server knows by now
+            return
+        call = attempt.call
+        attempt.stands = True
+        if not self.book.final(call, message, "stands"):
+            return
+        self.standing[call.wire] = attempt
+        took = (self.floor.now - attempt.sent_at) * NS
+        self.route.tell(api.CallStands(call.number, attempt.index, server.host, took))
+
+    def release(self, server: Server, link: Link, message: Release) -> None:
+        link.send(ReleaseHeard(message.call))
+        attempt = server.attempts.get(message.call)
+        if attempt is None:
+            if message.call in self.book.ended or message.call in self.floor.open:
+                self.floor.counts["strays"] += 1  # a server repeats its own
+            else:
+                # A call of this softswitch's life before its restart: it stands at its caller still.
+                self.floor.counts["releases_inherited"] += 1
+                self.book.released(Release(message.call, message.reason), None)
+            return
+        self.send.drop(attempt)
+        if attempt.stands:
+            self.standing.pop(message.call, None)
+            self.book.released(Release(message.call, message.reason), attempt.call.caller)
+            outcome = Outcome.ENDED if message.reason is Reason.CLEARED else Outcome.RESET
+            return self.route.ended(attempt, outcome, True, message)
+        outcome = SERVER_OUTCOMES.get(message.reason, Outcome.ERROR)
+        self.route.ended(attempt, outcome, attempt.call.wire not in self.floor.open, message)
+
+    def hung_up(self, message: Release) -> bool:
+        """The caller releases a call that stands."""
+        attempt = self.standing.pop(message.call, None)
+        if attempt is None:
+            return False
+        self.send.drop(attempt)
+        self.book.remember(message.call)
+        self.floor.counts["calls_hung_up"] += 1
+        link = attempt.server.link or attempt.link
+        if link is not None:
+            link.send(Release(message.call, message.reason))
+        self.route.ended(attempt, Outcome.CANCELLED, True)
+        return True
+
+
+class Admit:
+    """A call that was taken in: turned away if the softswitch itself is full, else told to the controller."""
+
+    def __init__(self, floor: Floor, route: Route, book: Book) -> None:
+        self.floor, self.route, self.book = floor, route, book
+
+    def call(self, call: Call) -> None:
+        floor = self.floor
+        late = floor.stopping_at and floor.now > floor.stopping_at + NOTICE
+        if late or len(floor.open) > floor.config.max_open:
+            self.book.final(call, Release(call.wire, Reason.CONGESTED), "turned_away")
+            return
+        self.route.tell(
+            api.NewCall(
+                call=call.number,
+                klass=call.klass,
+                patience=(call.deadline - floor.now) * NS,
+                first_choice=call.set_up.first_choice,
+                repeat=call.set_up.repeat,
+            )
+        )
+
+    def refused(self, action: api.Refuse) -> None:
+        call = self.floor.numbers.get(action.call)
+        if call is not None:
+            away = -(-action.retry_after // (NS * MS))
+            self._end(call, Release(call.wire, Reason.CONGESTED, stay_away_ms=away), "refused")
+
+    def failed(self, action: api.Fail) -> None:
+        call = self.floor.numbers.get(action.call)
+        if call is not None:
+            self._end(call, Release(call.wire, Reason.FAILED), "failed")
+
+    def _end(self, call: Call, message: Release, kind: str) -> None:
+        attempt = call.attempt
+        self.book.final(call, message, kind)
+        if attempt is not None and not attempt.stands:
+            over = self.floor.now >= attempt.limit_at
+            self.give_up(attempt, Outcome.TIMEOUT if over else Outcome.CANCELLED)
+
+    give_up: Callable[[Attempt, Outcome], None]
+
+
+class TakeIn:
+    """First stage: what callers say. A set-up becomes a call here, or is answered as unreadable."""
+
+    def __init__(
+        self, floor: Floor, route: Route, admit: Admit, send: Send, relay: Relay, book: Book
+    ) -> None:
+        self.floor, self.route, self.admit = floor, route, admit
+        self.send, self.relay, self.book = send, relay, book
+        self.serial = itertools.count(1)
+
+    def set_up(self, link: Link, message: SetUp) -> None:
+        floor = self.floor
+        floor.counts["taken_in"] += 1
+        klass = floor.config.classes.get(message.klass)
+        if message.call in floor.open:
+            # Sent again because a connection closed under it: the answer goes where the caller is now.
+            call = floor.open[message.call]
+            call.caller.calls.pop(call.wire, None)
+            call.caller = link
+            link.calls[call.wire] = call
+            floor.counts["set_ups_repeated"] += 1
+            return
+        if klass is None or message.wait_ms <= 0:
+            floor.counts["answered_malformed"] += 1
+            link.send(Release(message.call, Reason.MALFORMED))
+            return
+        deadline = floor.now + max(message.wait_ms * MS - MARGIN, MS)
+        call = Call(next(self.serial), message.call, message, klass, link, deadline)
+        floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
+        self.admit.call(call)
+
+    def release(self, link: Link, message: Release) -> None:
+        link.send(ReleaseHeard(message.call))
+        call = self.floor.open.get(message.call)
+        if call is not None:
+            return self.left(call)
+        if not self.relay.hung_up(message):
+            self.floor.counts["strays"] += 1
+
+    def left(self, call: Call) -> None:
+        attempt = call.attempt
+        self.book.gone(call)
+        self.route.tell(api.CallerLeft(call.number))
+        if attempt is not None and not attempt.stands:
+            self.send.give_up(attempt, Outcome.CANCELLED)
+
+    def test(self, link: Link, message: Test) -> None:
+        floor = self.floor
+        link.send(TestResult(message.call, floor.list_known and not floor.stopping_at))
+
+    def closed(self, link: Link) -> None:
+        self.floor.callers.pop(link, None)
+        for call in list(link.calls.values()):
+            self.left(call)
+
+
+class Softswitch:
+    """Builds the stages and turns the loop."""
+
+    def __init__(self, config: Config) -> None:
+        now = time.monotonic_ns() // NS
+        # Fixed once: a start that seemed to move would read as a restart.
+        self.unix_at_zero = time.time_ns() // NS - now
+        floor = self.floor = Floor(config, now)
+        self.book = Book(floor)
+        self.route = Route(floor)
+        self.send = Send(floor, self.route, self.book)
+        self.relay = Relay(floor, self.route, self.send, self.book)
+        self.admit = Admit(floor, self.route, self.book)
+        self.admit.give_up = self.send.give_up
+        self.take_in = TakeIn(floor, self.route, self.admit, self.send, self.relay, self.book)
+        self.route.acts = {
+            api.Send: self.send.send,
+            api.Refuse: self.admit.refused,
+            api.Fail: self.admit.failed,
+            api.Cancel: self.send.cancel,
+            api.Wake: self.route.wake,
+            api.Probe: self.send.probe,
+            api.Message: lambda action: None,  # softswitches share nothing
+            api.FollowList: lambda action: None,  # the bulletin client follows it anyhow
+        }
+        most = int(config.sockets * CALLER_SHARE)
+        self.listener = links.Listener(config.listen, floor.inbox, lambda: len(floor.callers) < most)
+        self.stop_asked = False
+        self.counts_asked = False
+
+    def run(self) -> None:
+        """Serve until told to stop, then answer what was taken."""
+        floor = self.floor
+        self.route.tell(api.Started())
+        after, events = bulletin.read_events(floor.config.known)
+        for event in events:
+            self.list(event)
+        bulletin.Client(floor.config.bulletin, after, floor.inbox.put).start()
+        self.listener.start()
+        while not self._finished():
+            self.turn()
+        self.listener.close()
+        self._flush()
+        self.print_counts()
+
+    def turn(self) -> None:
+        floor = self.floor
+        batch: list[Any] = []
+        try:
+            due = floor.timers[0][0] if floor.timers else floor.now + SECOND
+            wait = (due - time.monotonic_ns() // NS) / SECOND
+            batch.append(floor.inbox.get(timeout=min(wait, 0.2)) if wait > 0 else floor.inbox.get_nowait())
+            while len(batch) < TURN_MOST:
+                batch.append(floor.inbox.get_nowait())
+        except Empty:
+            pass
+        floor.now = time.monotonic_ns() // NS
+        for item in batch:
+            self.deal(item)
+        while floor.timers and floor.timers[0][0] <= floor.now:
+            heapq.heappop(floor.timers)[2]()
+        if self.stop_asked and not floor.stopping_at:
+            floor.stopping_at = floor.now
+        if self.counts_asked:
+            self.counts_asked = False
+            self.print_counts()
+
+    def deal(self, item: Any) -> None:
+        match item:
+            case Came(link=link, message=message):
+                link.taken()
+                if isinstance(link.owner, Server):
+                    self.from_server(link.owner, link, message)
+                else:
+                    self.from_caller(link, message)
+            case Opened(link=link) if isinstance(link.owner, Server):
+                self.send.opened(link, link.owner)
+            case Opened(link=link):
+                self.floor.callers[link] = None
+                self.book.opened(link)
+            case Closed(link=link, malformed=malformed):
+                link.closed = True
+                self.floor.counts["malformed"] += malformed
+                if isinstance(link.owner, Server):
+                    self.send.closed(link, link.owner)
+                else:
+                    self.take_in.closed(link)
+            case DialFailed():
+                self.send.failed(item)
+            case bulletin.Roster():
+                self.list(item)
+
+    def from_caller(self, link: Link, message: Message) -> None:
+        match message:
+            case SetUp():
+                self.take_in.set_up(link, message)
+            case Release():
+                self.take_in.release(link, message)
+            case Test():
+                self.take_in.test(link, message)
+
+    def from_server(self, server: Server, link: Link, message: Message) -> None:
+        match message:
+            case Answer():
+                self.relay.answer(server, message)
+            case Release():
+                self.relay.release(server, link, message)
+            case GroupState(call=number, report=figures) | TestResult(call=number, report=figures):
+                if not self.send.probed(number, figures) and figures:
+                    report = self.route.report(figures)
+                    self.route.tell(api.ProbeAnswered(server.host, True, 0, report))
+
+    def list(self, roster: bulletin.Roster) -> None:
+        """A change of the list of setup servers."""
+        floor = self.floor
+        entries = []
+        away: list[tuple[Server, int]] = []  # with when what they had was lost
+        for line in roster.hosts:
+            born = max(line.born_ms * MS - self.unix_at_zero, 1) if line.born_ms else 0
+            server = floor.servers.get(line.host)
+            if server is None:
+                server = floor.servers[line.host] = Server(
+                    line.host, line.dial, line.number, line.state, born
+                )
+            elif born > server.born:
+                away.append((server, born))
+            server.dial, server.number, server.state = line.dial, line.number, line.state
+            server.born = max(server.born, born)
+            entries.append(api.ServerEntry(line.host, line.number, server.born * NS, line.state))
+        if roster.whole:
+            listed = {line.host for line in roster.hosts}
+            for server in floor.servers.values():
+                if server.host not in listed:
+                    server.state = ServerState.GONE
+        kind = api.ListKind.COMPLETE if roster.whole else api.ListKind.CHANGES
+        # The controller first: a call cut by this change must not be sent to who has left.
+        self.route.tell(api.ServerList(kind, tuple(entries)))
+        away += [(server, floor.now) for server in floor.servers.values() if server.state is ServerState.GONE]
+        for server, before in away:
+            if server.state is ServerState.GONE:
+                del floor.servers[server.host]
+            self.send.cut(server, before)
+            link, server.link = server.link, None
+            if link is not None:
+                link.close()
+        for server in floor.servers.values():
+            self.send.connect(server)
+        floor.list_known = floor.list_known or bool(floor.servers)
+
+    def _finished(self) -> bool:
+        floor = self.floor
+        if not floor.stopping_at:
+            return False
+        since = floor.now - floor.stopping_at
+        return since >= STOP_MOST or (since >= NOTICE and not floor.open)
+
+    def _flush(self) -> None:
+        until = time.monotonic() + 0.1
+        while time.monotonic() < until and not all(link.drained() for link in self.floor.callers):
+            time.sleep(0.002)
+
+    def print_counts(self) -> None:
+        counts = {
+            "name": self.floor.config.name,
+            "open": len(self.floor.open),
+            **sorted_counts(self.floor.counts),
+        }
+        print(ujson.dumps(counts), file=sys.stderr, flush=True)
+
+
+def sorted_counts(counts: Counter[str]) -> dict[str, int]:
+    return dict(sorted(counts.items()))
+
+
+def leave(code: int = 0) -> None:
+    """End at once: the threads of silent peers must not hold the exit up."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
