--- /dev/null
+++ b/tests/test_softswitch.py
@@ -0,0 +1,489 @@
+"""Stories over loopback sockets: the whole softswitch against scripted callers, setup servers and a bulletin.
+
+One story for each failure met. Nothing sleeps and hopes: each step waits for what must come.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from queue import Empty, Queue
+from typing import Any
+
+import pytest
+
+from wickstep.net import (
+    Answer,
+    GroupState,
+    Message,
+    Note,
+    Reason,
+    Release,
+    SetUp,
+    Test,
+    TestResult,
+    codec,
+    links,
+)
+from wickstep.net import softswitch as module
+from wickstep.net.softswitch import Config, Softswitch
+
+from .test_wire import CONF
+
+PATIENCE = 10.0
+LINES = {"free": 900.0, "size": 1000.0, "hold_back": 0.0, "avg_ms": 1.0}
+
+
+class Peer:
+    """One end of a connection, speaking messages."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.splitter = codec.Splitter()
+        self.read: list[Message] = []
+        sock.settimeout(PATIENCE)
+
+    def say(self, *messages: Message) -> None:
+        self.sock.sendall(b"".join(codec.encode(message) for message in messages))
+
+    def hear(self, kind: type[Any], call: int | None = None) -> Any:
+        """The next message of this kind (and of this call); others are passed over."""
+        while True:
+            for place, message in enumerate(self.read):
+                if isinstance(message, kind) and call in (None, message.call):
+                    del self.read[: place + 1]
+                    return message
+            data = self.sock.recv(65536)
+            assert data, f"closed while waiting for {kind.__name__}"
+            self.read = [*self.read, *self.splitter.feed(data)]
+
+    def ends(self) -> bool:
+        """Whether the softswitch closes the connection."""
+        try:
+            while self.sock.recv(65536):
+                pass
+        except ConnectionResetError:
+            pass
+        return True
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        self.sock.close()
+
+
+class Server:
+    """A setup server: says its state on each connection; the story does the rest."""
+
+    def __init__(self, greet: bool = True) -> None:
+        self.greet = greet
+        self.listen()
+
+    def listen(self, port: int = 0) -> None:
+        self.sock = socket.create_server(("127.0.0.1", port))
+        self.sock.settimeout(PATIENCE)
+        self.dial = f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def accept(self) -> Peer:
+        peer = Peer(self.sock.accept()[0])
+        if self.greet:
+            peer.say(GroupState(0, LINES))
+        return peer
+
+
+class Bulletin:
+    """Holds a call for a while, until the story has an event for it."""
+
+    def __init__(self) -> None:
+        self.events: Queue[dict[str, Any]] = Queue()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.dial = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.number = 1
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def tell(self, *hosts: dict[str, Any], whole: bool = False) -> None:
+        self.number += 1
+        self.events.put({"no": self.number, "roster": {"seq": 1, "whole": whole, "hosts": list(hosts)}})
+
+    def serve(self) -> None:
+        while True:
+            sock, _ = self.sock.accept()
+            with sock:
+                while b"\r\n\r\n" in sock.recv(4096):
+                    try:
+                        items = [self.events.get(timeout=0.2)]
+                    except Empty:
+                        items = []
+                    body = json.dumps({"no": self.number, "items": items})
+                    sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+
+def line(server: Server, host: str, number: int = 0, health: str = "Ready", born: int = 0) -> dict[str, Any]:
+    return {"host": host, "dial": server.dial, "block": number, "health": health, "born_ms": born}
+
+
+class Town:
+    """A softswitch with its bulletin; a story adds servers and callers."""
+
+    def __init__(self) -> None:
+        self.bulletin = Bulletin()
+        self.serial = 0xA0
+        self.switch: Softswitch | None = None
+
+    def open(self, *hosts: dict[str, Any], **more: Any) -> None:
+        conf = json.loads(json.dumps(CONF))
+        conf["classes"][0]["name"] = "voice"
+        conf["classes"].append({**conf["classes"][0], "name": "video"})
+        conf["family_info"]["allowed_pools"] = [[0, 1], [0, 1]]
+        conf["family_info"]["release_ns"] = 200_000_000
+        conf["limits"].update({"dial_timeout_ns": 500_000_000, "probes": True, "max_open": 100, **more})
+        conf["stats"] = {"columns": ["free", "size", "hold_back", "avg_ms"]}
+        items = [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": list(hosts)}}] if hosts else []
+        text = json.dumps(
+            {
+                "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": conf,
+                "bulletin": self.bulletin.dial, "known": {"no": len(items), "items": items},
+                "limits": {"sockets": 256},
+            }
+        )  # fmt: skip
+        self.switch = Softswitch(Config.read(text))
+        self.thread = threading.Thread(target=self.switch.run)
+        self.thread.start()
+
+    def caller(self) -> Peer:
+        assert self.switch is not None
+        return Peer(socket.create_connection(self.switch.listener.where))
+
+    def call(self, caller: Peer, wait_ms: int = 5000, klass: str = "voice") -> int:
+        self.serial += 1
+        caller.say(SetUp(self.serial, klass, wait_ms, "7f3a9c21e0b4d655", b"offer", first_choice=0))
+        return self.serial
+
+    def stop(self) -> None:
+        if self.switch is not None:
+            self.switch.stop_asked = True
+            self.thread.join(PATIENCE)
+            assert not self.thread.is_alive()
+
+
+@pytest.fixture
+def town(monkeypatch: pytest.MonkeyPatch) -> Iterator[Town]:
+    monkeypatch.setattr(module, "NOTICE", 0)
+    made = Town()
+    yield made
+    made.stop()
+    assert made.switch is not None
+    assert made.switch.floor.counts["faults"] == 0
+
+
+@pytest.fixture
+def one(town: Town) -> tuple[Town, Server, Peer, Peer]:
+    """One server, connected, and one caller."""
+    server = Server()
+    town.open(line(server, "s-1"))
+    return town, server, server.accept(), town.caller()
+
+
+One = tuple[Town, Server, Peer, Peer]
+
+
+def stands(town: Town, trunk: Peer, caller: Peer) -> int:
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    trunk.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+    return call
+
+
+def test_a_call_goes_on_unchanged_stands_and_comes_to_its_end(one: One) -> None:
+    town, _, trunk, caller = one
+    call = town.call(caller, wait_ms=3000)
+    sent = trunk.hear(SetUp, call)
+    assert (sent.klass, sent.number, sent.description) == ("voice", "7f3a9c21e0b4d655", b"offer")
+    assert 2500 <= sent.wait_ms <= 3000
+    assert sent.first_choice == -1  # the caller's figures are not the server's business
+    trunk.say(Answer(call, b"accept \xff"))
+    assert caller.hear(Answer, call).description == b"accept \xff"
+    trunk.say(Release(call, Reason.CLEARED, report={"free": 899.0, "avg_ms": 2.5}))
+    assert caller.hear(Release, call).reason is Reason.CLEARED
+
+
+@pytest.mark.parametrize(
+    ("ending", "then"),
+    [
+        (Release(0, Reason.FULL, Note.OVERLOAD), "s-2"),  # never ran: another takes it at once
+        (Release(0, Reason.FAULT), "s-2"),
+        (Release(0, Reason.INTERRUPTED), "s-1"),  # when its line is surely free: its mark is over too
+        (Release(0, Reason.BUSY, Note.LINES_BUSY), "caller"),  # busy by any other: refused
+    ],
+)
+def test_a_failed_attempt_ends_in_another_or_in_one_refusal(town: Town, ending: Release, then: str) -> None:
+    servers = [Server(), Server()]
+    town.open(line(servers[0], "s-1", 0), line(servers[1], "s-2", 1))
+    first, second, caller = servers[0].accept(), servers[1].accept(), town.caller()
+    call = town.call(caller)
+    first.hear(SetUp, call)
+    at = time.monotonic()
+    first.say(Release(call, ending.reason, ending.note))
+    if then == "caller":
+        refusal = caller.hear(Release, call)
+        assert refusal.reason is Reason.CONGESTED
+        assert refusal.stay_away_ms > 0
+        return
+    taker = first if then == "s-1" else second
+    taker.hear(SetUp, call)
+    assert then == "s-2" or time.monotonic() - at >= 0.2
+    taker.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+
+
+def test_silence_ends_in_one_answer_before_the_caller_gives_up(one: One) -> None:
+    town, _, trunk, caller = one
+    at = time.monotonic()
+    call = town.call(caller, wait_ms=600)
+    trunk.hear(SetUp, call)
+    assert caller.hear(Release, call).reason is Reason.FAILED
+    assert time.monotonic() - at < 5
+    assert trunk.hear(Release, call).reason is Reason.CLEARED  # given up towards the server too
+    trunk.say(Answer(call, b"too late"))
+    other = stands(town, trunk, caller)
+    assert other != call  # and nothing about the first came in between
+    assert not [message for message in caller.read if message.call == call]
+
+
+def test_a_caller_that_gives_up_is_owed_nothing_and_its_attempt_is_given_up(one: One) -> None:
+    town, _, trunk, caller = one
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    caller.say(Release(call, Reason.CLEARED))
+    assert trunk.hear(Release, call).reason is Reason.CLEARED
+
+
+def test_a_caller_whose_connection_closes_has_left(one: One) -> None:
+    town, _, trunk, caller = one
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    caller.reset()
+    assert trunk.hear(Release, call).reason is Reason.CLEARED
+
+
+def test_a_refused_connection_proves_that_nothing_ran(town: Town) -> None:
+    server, dead = Server(), Server()
+    dead.sock.close()
+    town.open(line(dead, "s-0", 0), line(server, "s-1", 1))
+    trunk, caller = server.accept(), town.caller()
+    stands(town, trunk, caller)
+
+
+def test_releases_come_and_go_on_any_connection_and_count_once(one: One) -> None:
+    town, _, trunk, caller = one
+    call, other = stands(town, trunk, caller), stands(town, trunk, caller)
+    second = town.caller()
+    second.say(Test(1))
+    second.hear(TestResult)
+    second.say(Release(call, Reason.CLEARED))  # hung up, on a connection that never knew the call
+    assert trunk.hear(Release, call).reason is Reason.CLEARED
+    caller.sock.close()
+    trunk.say(Release(other, Reason.CLEARED), Release(other, Reason.CLEARED))  # a server repeats its own
+    second.hear(Release, other)
+    third = stands(town, trunk, second)
+    assert third
+    assert not [message for message in second.read if message.call == other]
+
+
+def test_a_release_waits_for_a_connection_if_none_is_open(one: One) -> None:
+    town, _, trunk, caller = one
+    call = stands(town, trunk, caller)
+    caller.sock.close()
+    wait_for(lambda: town.switch is not None and not town.switch.floor.callers)
+    trunk.say(Release(call, Reason.CLEARED))
+    wait_for(lambda: town.switch is not None and bool(town.switch.book.unsent))
+    assert town.caller().hear(Release, call).reason is Reason.CLEARED
+
+
+def test_a_release_of_a_former_life_is_passed_on(one: One) -> None:
+    _, _, trunk, caller = one
+    caller.say(Test(1))
+    caller.hear(TestResult)
+    trunk.say(Release(0xBEEF, Reason.CLEARED))
+    assert caller.hear(Release).call == 0xBEEF
+
+
+@pytest.mark.parametrize("how", ["died", "gone", "restarted"])
+def test_calls_of_a_server_that_is_no_more_are_cut_towards_their_callers(one: One, how: str) -> None:
+    town, server, trunk, caller = one
+    call = stands(town, trunk, caller)
+    if how == "died":  # reset, and then nobody listens
+        server.sock.close()
+        trunk.reset()
+    elif how == "gone":
+        town.bulletin.tell(line(server, "s-1", health="Gone"))
+    else:  # vanished and came back, the old connection still open
+        town.bulletin.tell(line(server, "s-1", born=time.time_ns() // 1_000_000 + 2))
+    assert caller.hear(Release, call).reason is Reason.INTERRUPTED
+    if how == "restarted":
+        stands(town, server.accept(), caller)
+
+
+def test_a_lost_connection_cuts_no_call_that_stands(one: One) -> None:
+    town, server, trunk, caller = one
+    call = stands(town, trunk, caller)
+    trunk.reset()
+    again = server.accept()
+    again.say(Release(call, Reason.CLEARED))
+    assert caller.hear(Release, call).reason is Reason.CLEARED
+
+
+def test_a_connection_made_to_the_new_process_outlives_the_news_of_its_start(one: One) -> None:
+    town, server, trunk, caller = one
+    born = time.time_ns() // 1_000_000 - 1
+    trunk.reset()
+    again = server.accept()
+    call = town.call(caller)
+    again.hear(SetUp, call)
+    town.bulletin.tell(line(server, "s-1", born=born))
+    wait_for(lambda: town.switch is not None and town.switch.floor.servers["s-1"].born > 0)
+    again.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+
+
+def test_an_address_may_be_a_newcomers_later(one: One) -> None:
+    town, server, _, caller = one
+    town.bulletin.tell(line(server, "s-1", health="Gone"), line(server, "s-2"))
+    stands(town, server.accept(), caller)
+
+
+def test_nothing_goes_to_a_draining_server(one: One) -> None:
+    town, server, trunk, caller = one
+    call = stands(town, trunk, caller)
+    town.bulletin.tell(line(server, "s-1", health="Terminating"))
+    wait_for(lambda: town.switch is not None and not town.switch.route.controller.active)
+    refused = town.call(caller)
+    assert caller.hear(Release, refused).reason is Reason.CONGESTED
+    trunk.say(Release(call, Reason.CLEARED))  # and yet what stands there is heard
+    caller.hear(Release, call)
+
+
+def test_the_test_passes_only_once_the_list_is_known(town: Town) -> None:
+    town.open()
+    caller, server = town.caller(), Server()
+    caller.say(Test(7))
+    assert not caller.hear(TestResult, 7).passed
+    town.bulletin.tell(line(server, "s-1"), whole=True)
+    server.accept()
+    caller.say(Test(8))
+    assert caller.hear(TestResult, 8).passed
+
+
+HEAD = codec.HEAD
+
+
+@pytest.mark.parametrize(
+    "junk",
+    [
+        HEAD.pack(3, 1, 7),  # shorter than its own head
+        HEAD.pack(60000, 1, 7),  # over 16 KiB
+        HEAD.pack(9, 12, 7),  # a release without a cause
+        HEAD.pack(10, 1, 7) + b"\x40",  # a parameter cut off in its head
+        HEAD.pack(13, 1, 7) + b"\x40\x00\x09x",  # and in its value
+        HEAD.pack(14, 1, 7) + b"\x41\x00\x02-1",
+        HEAD.pack(13, 1, 7) + b"\x40\x00\x01\xff",
+        HEAD.pack(15, 1, 7) + b"\x45\x00\x03a:b",
+        HEAD.pack(16, 1, 7) + b"\x45\x00\x04dest",
+        HEAD.pack(14, 12, 7) + b"\x4e\x00\x02\x10\x10",
+        HEAD.pack(41, 1, 7) + b"\x41\x00\x1d" + b"9" * 29,
+    ],
+)
+def test_malformed_input_costs_its_own_connection_and_no_other(one: One, junk: bytes) -> None:
+    town, _, trunk, caller = one
+    bad = town.caller()
+    bad.sock.sendall(junk)
+    assert bad.ends()
+    stands(town, trunk, caller)
+    assert town.switch is not None
+    assert town.switch.floor.counts["malformed"] == 1
+
+
+@pytest.mark.parametrize(("klass", "wait_ms"), [("fax", 1000), ("", 1000), ("voice", 0)])
+def test_a_set_up_that_makes_no_sense_is_answered_at_once(one: One, klass: str, wait_ms: int) -> None:
+    town, _, _, caller = one
+    call = town.call(caller, wait_ms, klass)
+    assert caller.hear(Release, call).reason is Reason.MALFORMED
+
+
+def test_figures_that_are_no_numbers_harm_nothing(one: One) -> None:
+    town, _, trunk, caller = one
+    trunk.say(GroupState(0, {"free": float("nan"), "size": float("inf"), "avg_ms": float("-inf")}))
+    caller.sock.sendall(HEAD.pack(9 + 11, 1, 7) + b"\x45\x00\x08dest:inf")
+    assert caller.hear(Release, 7).reason is Reason.MALFORMED
+    stands(town, trunk, caller)
+
+
+def test_a_peer_that_does_not_read_is_closed_and_blocks_nobody(one: One) -> None:
+    town, _, trunk, caller = one
+    deaf = town.caller()
+    deaf.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    assert town.switch is not None
+    wait_for(lambda: town.switch is not None and len(town.switch.floor.callers) == 2)
+    link = list(town.switch.floor.callers)[-1]
+    while link.send(Answer(1, b"x" * 16000)):
+        pass  # bounded: the outbox is
+    assert deaf.ends()
+    stands(town, trunk, caller)
+
+
+def test_a_server_that_slams_the_door_is_not_dialled_without_end(town: Town) -> None:
+    server = Server(greet=False)
+    town.open(line(server, "s-1"))
+    for _ in range(3):
+        server.accept().reset()
+    wait_for(lambda: town.switch is not None and town.switch.floor.servers["s-1"].redial_pending)
+    assert town.switch is not None
+    assert town.switch.floor.counts["dials"] <= 4
+
+
+def test_a_silent_address_ends_in_another_attempt_within_the_dial_timeout(
+    town: Town, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    dialled: list[Any] = []
+    real = links.dial
+
+    def dial(where: str, timeout: int, inbox: Any, owner: Any) -> None:
+        if owner.host == "s-0":  # a connect that never comes up: the kernel says so when the time is over
+            dialled.append(timeout)
+            inbox.put(links.DialFailed(owner, refused=False))
+        else:
+            real(where, timeout, inbox, owner)
+
+    monkeypatch.setattr(links, "dial", dial)
+    server = Server()
+    town.open(line(Server(), "s-0", 0), line(server, "s-1", 1))
+    stands(town, server.accept(), town.caller())
+    assert set(dialled) == {500_000}
+
+
+def test_after_the_signal_what_was_taken_is_answered_before_the_end(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, _, trunk, caller = one
+    monkeypatch.setattr(module, "NOTICE", 300_000)
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    assert town.switch is not None
+    town.switch.stop_asked = True
+    wait_for(lambda: town.switch is not None and town.switch.floor.stopping_at > 0)
+    late = town.call(town.caller())  # the front has not noticed yet
+    trunk.hear(SetUp, late)
+    trunk.say(Answer(late, b"accept"), Answer(call, b"accept"))
+    caller.hear(Answer, call)
+    town.thread.join(PATIENCE)
+    assert not town.thread.is_alive()
+
+
+def wait_for(met: Callable[[], bool]) -> None:
+    until = time.monotonic() + PATIENCE
+    while not met():
+        assert time.monotonic() < until, "it never came to that"
+        time.sleep(0.005)
--- a/wickstep/__init__.py
+++ b/wickstep/__init__.py
@@ -3,4 +3,5 @@
 from wickstep.brain import Controller
 from wickstep.interface import Settings
 
-__all__ = ["Controller", "Settings"]
+__version__ = "0.1.0"
+__all__ = ["Controller", "Settings", "__version__"]
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import logging
+import secrets
 import signal
+import socket
 import sys
 import threading
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import click
 
-VERSION = "0.1.0"
+from wickstep import __version__
+from wickstep.net import Message, Release, SetUp, Test, TestResult, codec, links, softswitch
 
 
 @click.group()
@@ -22,14 +25,12 @@
 @main.command()
 def version() -> None:
     """Print the version."""
-    click.echo(f"wickstep {VERSION}")
+    click.echo(f"wickstep {__version__}")
 
 
-def read(path: Path) -> Any:
-    from wickstep.net.softswitch import Config
-
+def read(path: Path) -> softswitch.Config:
     try:
-        return Config.read(path.read_bytes())
+        return softswitch.Config.read(path.read_bytes())
     except (OSError, ValueError, KeyError, TypeError) as trouble:
         raise click.ClickException(f"{path}: {trouble!r}") from trouble
 
@@ -52,13 +53,54 @@
     click.echo(f"{config.name} listens on {config.listen}, classes: {', '.join(config.classes)}")
 
 
+TO = click.option("--to", default="127.0.0.1:5080", show_default=True, help="Where the softswitch listens.")
+
+
+def talk(to: str, message: Message, last: type[Message]) -> Iterator[Message]:
+    """Say one message and yield what is heard about it, up to the first of the type `last`."""
+    splitter = codec.Splitter()
+    try:
+        with socket.create_connection(links.address(to), timeout=5) as sock:
+            sock.sendall(codec.encode(message))
+            sock.settimeout(60)
+            while data := sock.recv(4096):
+                for heard in splitter.feed(data):
+                    if heard.call == message.call:
+                        yield heard
+                        if isinstance(heard, last):
+                            return
+    except (OSError, ValueError, codec.Malformed) as trouble:
+        raise click.ClickException(f"{to}: {trouble}") from trouble
+    raise click.ClickException(f"{to}: the connection was closed")
+
+
+@main.command()
+@TO
+def test(to: str) -> None:
+    """Ask a running softswitch whether it is ready to take calls."""
+    for heard in talk(to, Test(secrets.randbits(64)), TestResult):
+        passed = isinstance(heard, TestResult) and heard.passed
+        click.echo("ready" if passed else "not ready")
+        sys.exit(not passed)
+
+
+@main.command()
+@TO
+@click.option("--class", "klass", default="general", show_default=True)
+@click.option("--number", default="7f3a9c21e0b4d655", show_default=True, help="The number called.")
+@click.option("--wait-ms", default=3000, show_default=True, help="How long to wait for the answer.")
+def call(to: str, klass: str, number: str, wait_ms: int) -> None:
+    """Set up one call by hand and print what comes back, until it is released."""
+    set_up = SetUp(secrets.randbits(64), klass, wait_ms, number, b"v=0 by hand")
+    for heard in talk(to, set_up, Release):
+        click.echo(heard)
+
+
 @main.command()
 @CONFIG
 @click.option("--verbose", is_flag=True, help="Log more than warnings.")
 def serve(path: Path, verbose: bool) -> None:
     """Serve calls until SIGTERM; SIGUSR1 prints the counters."""
-    from wickstep.net import links, softswitch
-
     logging.basicConfig(
         stream=sys.stderr,
         level=logging.INFO if verbose else logging.WARNING,
--- a/wickstep/net/__init__.py
+++ b/wickstep/net/__init__.py
@@ -22,9 +22,8 @@
     INTERRUPTED = "interrupted"  # the set-up broke on its way, or the call was cut
     MOOT = "moot"  # it never left
     CONGESTED = "congested"  # refused: trying again is harmless
-    FAILED = "failed"
+    FAILED = "failed"  # and whatever else a peer may name
     MALFORMED = "malformed"
-    OTHER = "other"
 
 
 class Note(Enum):
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -59,7 +59,6 @@
     Reason.MOOT: 102,
     Reason.FAILED: 31,  # normal, unspecified
     Reason.MALFORMED: 111,  # protocol error
-    Reason.OTHER: 31,
 }
 REASONS = {cause: reason for reason, cause in CAUSES.items()}
 NOTES = {"no_circuit": Note.NO_CIRCUIT, "overload": Note.OVERLOAD, "lines_busy": Note.LINES_BUSY}
@@ -111,7 +110,7 @@
                 raise Malformed("a release without a cause")
             return Release(
                 call,
-                REASONS.get(cause[0], Reason.OTHER),
+                REASONS.get(cause[0], Reason.FAILED),
                 NOTES.get(_text(values, P_NOTE)),
                 _number(values, P_STAY_AWAY),
                 _report(values),
@@ -181,7 +180,7 @@
 
 def _set_up(call: int, values: dict[int, bytes]) -> SetUp:
     figures = _figures(values, P_FIGURES)
-    wanted = figures.get("dest", -1.0)
+    wanted = figures.get("dest", -1.0)  # `inf` and `nan` are no whole numbers, and so no server's
     return SetUp(
         call=call,
         klass=_text(values, P_CLASS),
@@ -205,7 +204,11 @@
                 (P_WAIT, b"%d" % message.wait_ms),
                 (P_NUMBER, message.number.encode()),
                 (P_DESCRIPTION, message.description),
+                (P_REPEAT, b"1" if message.repeat else b""),
             ]
+            if message.first_choice >= 0:
+                figures = f"dest:{message.first_choice}" + ";again:1" * message.again
+                values.append((P_FIGURES, figures.encode()))
         case Progress():
             kind = Kind.PROGRESS
         case Answer():
@@ -230,7 +233,8 @@
         case GroupState():
             kind = Kind.GROUP_STATE
             values = _report_out(message.report)
-    body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in values)
+    # An empty value is left out: what goes on is never longer than what came, so it always fits.
+    body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in values if value)
     whole = HEAD.pack(LEAST + len(body), kind, message.call) + body if len(body) < MOST else b""
     if not whole or len(whole) > MOST:
         raise Malformed("a message over 16 KiB")
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -208,11 +208,16 @@
                 continue
             try:
                 link = Link(sock, self._inbox, None)
-                self._inbox.put(Opened(link))
+            except OSError:
+                sock.close()  # gone already
+                continue
+            self._inbox.put(Opened(link))
+            try:
                 link.start()
-            except (OSError, RuntimeError) as trouble:
-                log.warning("a caller's connection could not be served: %s", trouble)
+            except RuntimeError as trouble:
+                log.warning("no thread for a caller's connection: %s", trouble)
                 sock.close()
+                self._inbox.put(Closed(link))
 
 
 def dial(where: str, timeout_us: int, inbox: Inbox, owner: Any) -> None:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -17,6 +17,7 @@
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from queue import Empty, SimpleQueue
 from typing import Any
 
@@ -115,9 +116,11 @@
     state: ServerState
     born: int  # 0: long ago
     link: Link | None = None
+    linked_at: int = 0  # when that connection came up
     dialing: bool = False
     lost: bool = False  # the last connection broke, and none has come up since
     redial_after: int = REDIAL_FIRST
+    redial_pending: bool = False
     waiting: list[Attempt] = field(default_factory=list)  # for a connection
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: out, or standing
 
@@ -159,6 +162,7 @@
         self.servers: dict[str, Server] = {}
         self.open: dict[int, Call] = {}  # by the id in messages: no final answer yet
         self.numbers: dict[int, Call] = {}  # the same by the controller's id
+        self.standing: dict[int, Attempt] = {}  # by the id in messages
         self.callers: dict[Link, None] = {}  # connections from callers, oldest first
         self.counts: Counter[str] = Counter()
         self.list_known = False
@@ -316,6 +320,7 @@
     def drop(self, attempt: Attempt) -> None:
         """Take an attempt that is over out of the tables."""
         attempt.server.attempts.pop(attempt.call.wire, None)
+        self.floor.standing.pop(attempt.call.wire, None)
         if attempt in attempt.server.waiting:
             attempt.server.waiting.remove(attempt)
         if attempt.call.attempt is attempt:
@@ -352,7 +357,7 @@
         server.dialing = False
         if server.state is ServerState.GONE or server.link is not None:
             return link.close()
-        server.link, server.lost, server.redial_after = link, False, REDIAL_FIRST
+        server.link, server.linked_at, server.lost = link, self.floor.now, False
         waiting, server.waiting = server.waiting, []
         for attempt in waiting:
             self._write(attempt)
@@ -361,15 +366,31 @@
         server: Server = failure.owner
         server.dialing = False
         self.floor.counts["dials_refused" if failure.refused else "dials_failed"] += 1
-        waiting, server.waiting = server.waiting, []
-        for attempt in waiting:
-            self.drop(attempt)
-            self.route.ended(attempt, Outcome.CONNECT_FAILED, over=attempt.call.wire not in self.floor.open)
+        self.stranded(server)
         if failure.refused and server.lost:
             # Reset, and now nobody listens: the process has died, and its calls with it. The bulletin says so
             # seconds later, and the callers are to be told within one.
             self.cut(server, self.floor.now)
-        self.floor.at(self.floor.now + server.redial_after, lambda: self.connect(server))
+        self.redial(server)
+
+    def stranded(self, server: Server) -> None:
+        """What waits for a connection to this server has waited in vain: it never ran."""
+        waiting, server.waiting = server.waiting, []
+        for attempt in waiting:
+            self.drop(attempt)
+            self.route.ended(attempt, Outcome.CONNECT_FAILED, over=attempt.call.wire not in self.floor.open)
+
+    def redial(self, server: Server) -> None:
+        """Connect again later; one timer a server, however many set-ups have dialled in between."""
+        if server.redial_pending:
+            return
+        server.redial_pending = True
+
+        def again() -> None:
+            server.redial_pending = False
+            self.connect(server)
+
+        self.floor.at(self.floor.now + server.redial_after, again)
         server.redial_after = min(2 * server.redial_after, REDIAL_MOST)
 
     def closed(self, link: Link, server: Server) -> None:
@@ -379,6 +400,9 @@
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.drop(attempt)
             self.route.ended(attempt, Outcome.RESET, over=attempt.call.wire not in self.floor.open)
+        if self.floor.now - server.linked_at < SECOND:
+            return self.redial(server)  # a server that slams the door must not be dialled in a tight circle
+        server.redial_after = REDIAL_FIRST
         self.connect(server)
 
     def cut(self, server: Server, before: int) -> None:
@@ -423,7 +447,6 @@
 
     def __init__(self, floor: Floor, route: Route, send: Send, book: Book) -> None:
         self.floor, self.route, self.send, self.book = floor, route, send, book
-        self.standing: dict[int, Attempt] = {}
 
     def answer(self, server: Server, message: Answer) -> None:
         attempt = server.attempts.get(message.call)
@@ -434,7 +457,7 @@
         attempt.stands = True
         if not self.book.final(call, message, "stands"):
             return
-        self.standing[call.wire] = attempt
+        self.floor.standing[call.wire] = attempt
         took = (self.floor.now - attempt.sent_at) * NS
         self.route.tell(api.CallStands(call.number, attempt.index, server.host, took))
 
@@ -451,7 +474,6 @@
             return
         self.send.drop(attempt)
         if attempt.stands:
-            self.standing.pop(message.call, None)
             self.book.released(Release(message.call, message.reason), attempt.call.caller)
             outcome = Outcome.ENDED if message.reason is Reason.CLEARED else Outcome.RESET
             return self.route.ended(attempt, outcome, True, message)
@@ -460,7 +482,7 @@
 
     def hung_up(self, message: Release) -> bool:
         """The caller releases a call that stands."""
-        attempt = self.standing.pop(message.call, None)
+        attempt = self.floor.standing.get(message.call)
         if attempt is None:
             return False
         self.send.drop(attempt)
@@ -545,8 +567,19 @@
         deadline = floor.now + max(message.wait_ms * MS - MARGIN, MS)
         call = Call(next(self.serial), message.call, message, klass, link, deadline)
         floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
+        floor.at(deadline + MARGIN // 2, lambda: self.overdue(call))
         self.admit.call(call)
 
+    def overdue(self, call: Call) -> None:
+        """The host's own guard: whatever the controller does, a call has its answer in time."""
+        if call.wire in self.floor.open and self.floor.open[call.wire] is call:
+            self.floor.counts["overdue"] += 1
+            attempt = call.attempt
+            self.book.final(call, Release(call.wire, Reason.FAILED), "failed")
+            self.route.tell(api.CallerLeft(call.number))
+            if attempt is not None:
+                self.send.give_up(attempt, Outcome.TIMEOUT)
+
     def release(self, link: Link, message: Release) -> None:
         link.send(ReleaseHeard(message.call))
         call = self.floor.open.get(message.call)
@@ -630,15 +663,23 @@
             pass
         floor.now = time.monotonic_ns() // NS
         for item in batch:
-            self.deal(item)
+            self.guard(partial(self.deal, item))
         while floor.timers and floor.timers[0][0] <= floor.now:
-            heapq.heappop(floor.timers)[2]()
+            self.guard(heapq.heappop(floor.timers)[2])
         if self.stop_asked and not floor.stopping_at:
             floor.stopping_at = floor.now
         if self.counts_asked:
             self.counts_asked = False
             self.print_counts()
 
+    def guard(self, do: Callable[[], None]) -> None:
+        """An error of our own costs the one message or timer, never the calls of everybody else."""
+        try:
+            do()
+        except Exception:
+            log.exception("a fault of our own")
+            self.floor.counts["faults"] += 1
+
     def deal(self, item: Any) -> None:
         match item:
             case Came(link=link, message=message):
@@ -713,10 +754,12 @@
         for server, before in away:
             if server.state is ServerState.GONE:
                 del floor.servers[server.host]
+                self.send.stranded(server)
             self.send.cut(server, before)
-            link, server.link = server.link, None
-            if link is not None:
-                link.close()
+            # A connection made after the start leads to the new process already.
+            if server.link is not None and (server.state is ServerState.GONE or server.linked_at <= before):
+                server.link.close()
+                self.send.closed(server.link, server)
         for server in floor.servers.values():
             self.send.connect(server)
         floor.list_known = floor.list_known or bool(floor.servers)
