Send a release again when its connection closes before the caller has confirmed it

Ruled out: a fixed time to wait before closing; the close is the caller's. Conclusion: written is not heard.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -285,7 +285,7 @@
     second.hear(TestResult)
     second.say(Release(call, Reason.CLEARED))  # hung up, on a connection that never knew the call
     assert trunk.hear(Release, call).reason is Reason.CLEARED
-    caller.sock.close()
+    caller.sock.close()  # written there or not, the release must be heard
     trunk.say(Release(other, Reason.CLEARED), Release(other, Reason.CLEARED))  # a server repeats its own
     second.hear(Release, other)
     third = stands(town, trunk, second)
@@ -303,6 +303,22 @@
     assert town.caller().hear(Release, call).reason is Reason.CLEARED
 
 
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_a_release_that_met_a_closing_connection_goes_out_on_another(one: One, confirmed: bool) -> None:
+    town, _, trunk, caller = one
+    call, second = stands(town, trunk, caller), town.caller()
+    trunk.say(Release(call, Reason.CLEARED))
+    caller.hear(Release, call)
+    if confirmed:
+        caller.say(ReleaseHeard(call))
+    caller.sock.close()
+    assert town.switch is not None
+    wait_for(lambda: town.switch is not None and len(town.switch.floor.callers) == 1)
+    assert town.switch.floor.counts["releases_sent_again"] == (not confirmed)
+    if not confirmed:
+        second.hear(Release, call)
+
+
 def test_a_release_of_a_former_life_is_passed_on(one: One) -> None:
     _, _, trunk, caller = one
     caller.say(Test(1))
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -18,7 +18,7 @@
 from queue import SimpleQueue
 from typing import Any
 
-from wickstep.net import Message, codec
+from wickstep.net import Message, Release, codec
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +72,7 @@
         self.inbox = inbox
         self.closed = False  # the loop's word for it; the threads notice by their socket
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
+        self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
         self._ahead = threading.Semaphore(AHEAD_MOST)
         self._outbox: deque[bytes] = deque()
         self._waiting = 0
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -55,6 +55,7 @@
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
 STOP_MOST = 3400 * MS  # the kill comes no sooner than 3.7 s
+UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
 TURN_MOST = 1000  # messages dealt with in one turn
 CALLER_SHARE = 0.5  # of the descriptors; callers hold a third at most, this guards the rest
 
@@ -79,7 +80,6 @@
     known: Any
     settings: api.Settings
     classes: dict[str, int]
-    report_names: dict[str, str]
     max_open: int
     dial_timeout: int
 
@@ -88,9 +88,6 @@
         raw = ujson.loads(text)
         conf = raw["settings"]
         limits = conf["limits"]
-        # A report names its figures as the settings do, or by their place among them.
-        columns = conf.get("stats", {}).get("columns", [])
-        names = {**REPORT_FIELDS, "x0": "free", "x1": "lines"}
         return cls(
             name=str(raw["name"]),
             listen=str(raw["listen"]),
@@ -100,7 +97,6 @@
             known=raw.get("known") or {"no": 0, "items": []},
             settings=read_settings(conf),
             classes={str(item["name"]): place for place, item in enumerate(conf["classes"])},
-            report_names={name: known for name, known in names.items() if name in columns or name[0] == "x"},
             max_open=int(limits.get("max_open") or 20000),
             dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
         )
@@ -206,6 +202,10 @@
         self.remember(release.call)
         for link in (*([caller] if caller else []), *reversed(self.floor.callers)):
             if not link.closed and link.send(release):
+                # Written is not heard: the caller may be closing this connection just now.
+                link.unheard[release.call] = release
+                if len(link.unheard) > UNHEARD_MOST:
+                    del link.unheard[next(iter(link.unheard))]
                 self.floor.counts["releases_sent"] += 1
                 return
         self.unsent.append(release)
@@ -216,6 +216,13 @@
         for release in waiting:
             self.released(release, link)
 
+    def closed(self, link: Link) -> None:
+        """What a connection has not confirmed before its end goes out on another."""
+        unheard, link.unheard = link.unheard, {}
+        for release in unheard.values():
+            self.floor.counts["releases_sent_again"] += 1
+            self.released(release, None)
+
     def remember(self, wire: int) -> None:
         now = self.floor.now
         self.ended[wire] = now
@@ -255,8 +262,8 @@
         self.floor.at(due, lambda: self.tell(api.TimerDue(action.token)))
 
     def report(self, figures: Mapping[str, float]) -> dict[str, float]:
-        names = self.floor.config.report_names
-        return {names[name]: value for name, value in figures.items() if name in names}
+        """A report names its figures as the settings do, on either wire."""
+        return {REPORT_FIELDS[name]: value for name, value in figures.items() if name in REPORT_FIELDS}
 
     def ended(self, attempt: Attempt, outcome: Outcome, over: bool, release: Release | None = None) -> None:
         self.floor.counts[f"attempts_{outcome.value}"] += 1
@@ -603,6 +610,7 @@
         self.floor.callers.pop(link, None)
         for call in list(link.calls.values()):
             self.left(call)
+        self.book.closed(link)
 
 
 class Softswitch:
@@ -713,6 +721,8 @@
                 self.take_in.release(link, message)
             case Test():
                 self.take_in.test(link, message)
+            case ReleaseHeard():
+                link.unheard.pop(message.call, None)
 
     def from_server(self, server: Server, link: Link, message: Message) -> None:
         match message:
