--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -22,6 +22,7 @@
     Note,
     Reason,
     Release,
+    ReleaseHeard,
     SetUp,
     Test,
     TestResult,
