Release the calls of a vanished machine after 4 s of silence, before the bulletin tells

Send.failed cut calls only on a refused connect after a reset; a machine that is silent refuses nothing, and Softswitch.list waits for the bulletin. Now Send.watch doubts a connection that is silent for 2 s while calls are there, by a new one beside it; if that does not come up either and the silence is over 4 s, the machine is given up and its calls are released. The same new connection takes over where the machine is back and only the old one stays silent. Also: what is open when the stop's time is up is failed and not lost; a hang-up of a call from before a restart goes to the servers; the clock is read once a turn; a story raced with the loop's count and waits for it now. Conclusion: silence has to be acted on by the host; the list only knows processes.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,10 +1,10 @@
 """A toy setup server with a toy bulletin, to try the softswitch by hand: it answers every set-up.
 
-    python examples/toy_server.py              # a server on 127.0.0.1:5090, the bulletin on 127.0.0.1:8500
+    python -m examples.toy_server              # a server on 127.0.0.1:5090, the bulletin on 127.0.0.1:8500
     python -m wickstep serve --config examples/config.json
     python -m wickstep call
 
-A call stands for two seconds, then the server releases it. Nothing here is measured or modelled.
+A call stands for a while (`--stands-s`), then the server releases it. Nothing is measured or modelled here.
 """
 
 from __future__ import annotations
@@ -19,10 +19,9 @@
 from wickstep.net import Answer, GroupState, Reason, Release, SetUp, Test, codec
 
 REPORT = {"free": 100.0, "size": 100.0, "hold_back": 0.0, "avg_ms": 1.0}
-STANDS_S = 2.0
 
 
-def serve_calls(sock: socket.socket) -> None:
+def serve_calls(sock: socket.socket, stands_s: float) -> None:
     splitter, lock = codec.Splitter(), threading.Lock()
 
     def say(message: Answer | GroupState | Release) -> None:
@@ -36,7 +35,7 @@
             if isinstance(message, SetUp):
                 say(Answer(message.call, b"v=0 toy"))
                 over = Release(message.call, Reason.CLEARED, report=REPORT)
-                threading.Timer(STANDS_S, say, (over,)).start()
+                threading.Timer(stands_s, say, (over,)).start()
             elif isinstance(message, Test):
                 say(GroupState(message.call, REPORT))
 
@@ -58,10 +57,12 @@
 @click.command()
 @click.option("--port", default=5090, show_default=True, help="Where the setup server listens.")
 @click.option("--bulletin-port", default=8500, show_default=True, help="Where the bulletin listens.")
-def main(port: int, bulletin_port: int) -> None:
+@click.option("--stands-s", default=2.0, show_default=True, help="How long a call stands.")
+def main(port: int, bulletin_port: int, stands_s: float) -> None:
     """Answer every set-up, on loopback only."""
     calls = socket.create_server(("127.0.0.1", port))
     bulletin = socket.create_server(("127.0.0.1", bulletin_port))
+    port, bulletin_port = calls.getsockname()[1], bulletin.getsockname()[1]  # 0 lets the system choose
 
     def accept_bulletin() -> None:
         while True:
@@ -71,7 +72,7 @@
     threading.Thread(target=accept_bulletin, daemon=True).start()
     click.echo(f"setup server on 127.0.0.1:{port}, bulletin on 127.0.0.1:{bulletin_port}")
     while True:
-        threading.Thread(target=serve_calls, args=(calls.accept()[0],), daemon=True).start()
+        threading.Thread(target=serve_calls, args=(calls.accept()[0], stands_s), daemon=True).start()
 
 
 if __name__ == "__main__":
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -6,10 +6,14 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from queue import Empty, Queue
 from typing import Any
 
@@ -419,8 +423,7 @@
     bad.sock.sendall(junk)
     assert bad.ends()
     stands(town, trunk, caller)
-    assert town.switch is not None
-    assert town.switch.floor.counts["malformed"] == 1
+    wait_for(lambda: town.switch is not None and town.switch.floor.counts["malformed"] == 1)
 
 
 @pytest.mark.parametrize(("klass", "wait_ms"), [("fax", 1000), ("", 1000), ("voice", 0)])
@@ -504,3 +507,93 @@
     while not met():
         assert time.monotonic() < until, "it never came to that"
         time.sleep(0.005)
+
+
+def test_the_example_serves_a_call_by_hand_and_ends_on_the_signal(tmp_path: Path) -> None:
+    root = Path(__file__).parent.parent
+    running: list[subprocess.Popen[str]] = []
+
+    def start(*command: str) -> tuple[subprocess.Popen[str], str]:
+        made = subprocess.Popen(
+            [sys.executable, "-m", *command],
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, cwd=root,
+        )  # fmt: skip
+        running.append(made)
+        assert made.stdout is not None
+        return made, made.stdout.readline()
+
+    def by_hand(*command: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "wickstep", *command], capture_output=True, text=True, cwd=root
+        )
+
+    try:
+        _, said = start("examples.toy_server", "--port", "0", "--bulletin-port", "0", "--stands-s", "0.1")
+        config = json.loads((root / "examples" / "config.json").read_text())
+        config.update(listen="127.0.0.1:0", bulletin=said.split()[-1])
+        (tmp_path / "config.json").write_text(json.dumps(config))
+        switch, said = start("wickstep", "serve", "--config", str(tmp_path / "config.json"))
+        to = ("--to", said.split()[-1])
+        wait_for(lambda: by_hand("test", *to).returncode == 0)
+        heard = by_hand("call", *to).stdout.splitlines()
+        assert heard[0].startswith("Answer")
+        assert "CLEARED" in heard[1]
+        switch.send_signal(signal.SIGUSR1)
+        assert switch.stdout is not None
+        assert json.loads(switch.stdout.readline())["answered_stands"] == 1
+        switch.send_signal(signal.SIGTERM)
+        assert json.loads(switch.stdout.readline())["taken_in"] == 1
+        assert switch.wait(PATIENCE) == 0
+    finally:
+        for process in running:
+            process.kill()
+            process.wait()
+            assert process.stdout is not None
+            process.stdout.close()
+
+
+def test_calls_of_a_machine_that_vanished_are_cut_long_before_the_bulletin_tells(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, _, trunk, caller = one
+    call = stands(town, trunk, caller)
+    # Nothing is said, and new connections never come up. No time need pass for it.
+    monkeypatch.setattr(links, "dial", lambda *args: args[2].put(links.DialFailed(args[3], refused=False)))
+    monkeypatch.setattr(module, "SILENT", 0)
+    monkeypatch.setattr(module, "VANISHED", 0)
+    assert caller.hear(Release, call).reason is Reason.INTERRUPTED
+
+
+def test_a_silent_connection_is_replaced_once_a_set_up_has_failed_on_it(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, server, trunk, caller = one
+    monkeypatch.setattr(module, "SILENT", 200_000)
+    stands(town, trunk, caller)
+    call = town.call(caller, wait_ms=400)
+    caller.hear(Release, call)
+    again = server.accept()  # the old one stays open and silent: a machine that was cut off and came back
+    monkeypatch.setattr(module, "SILENT", 10**9)
+    stands(town, again, caller)
+    assert trunk.ends()
+
+
+def test_a_hang_up_of_a_former_life_reaches_the_servers_once(one: One) -> None:
+    town, _, trunk, caller = one
+    stands(town, trunk, caller)
+    caller.say(Release(0xBEEF, Reason.CLEARED), Release(0xBEEF, Reason.CLEARED))
+    trunk.hear(Release, 0xBEEF)
+    stands(town, trunk, caller)
+    assert not [message for message in trunk.read if message.call == 0xBEEF]
+
+
+def test_what_is_open_when_time_is_up_is_failed_and_not_lost(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, _, trunk, caller = one
+    monkeypatch.setattr(module, "STOP_MOST", 200_000)
+    call = town.call(caller, wait_ms=60_000)
+    trunk.hear(SetUp, call)
+    assert town.switch is not None
+    town.switch.stop_asked = True
+    assert caller.hear(Release, call).reason is Reason.FAILED
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -118,6 +118,8 @@
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     signal.signal(signal.SIGUSR1, count)
+    host, port = switch.listener.where
+    click.echo(f"{switch.floor.config.name} listens on {host}:{port}", err=True)
     switch.run()
     softswitch.leave()
 
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-PATIENCE_MS = 2000  # how long the bulletin may hold a call: a dead connection is noticed soon after
+PATIENCE_MS = 1000  # how long the bulletin may hold a call: a dead connection is noticed soon after
 GRACE_S = 1.0  # what the answer may take on top of that
 PAUSE_S = 0.1  # after a failure
 ANSWER_MOST = 4 * 1024 * 1024
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import logging
 import socket
 import threading
@@ -27,6 +28,7 @@
 AHEAD_MOST = 32  # messages of one connection that may wait for the loop
 CHUNK = 16 * 1024
 BACKLOG = 256
+BIND_S = 3.0
 
 
 def address(text: str) -> tuple[str, int]:
@@ -70,6 +72,7 @@
         self.owner = owner
         self.sock = sock
         self.inbox = inbox
+        self.heard_at = 0  # the loop's: when the last message was dealt with
         self.closed = False  # the loop's word for it; the threads notice by their socket
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
         self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
@@ -177,9 +180,20 @@
         self._inbox, self._room = inbox, room
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind(address(where))
+        self._bind(address(where))
         self._sock.listen(BACKLOG)
 
+    def _bind(self, where: tuple[str, int]) -> None:
+        # After a kill and a quick restart the predecessor's socket may be there for a moment still.
+        until = time.monotonic() + BIND_S
+        while True:
+            try:
+                return self._sock.bind(where)
+            except OSError as trouble:
+                if trouble.errno != errno.EADDRINUSE or time.monotonic() > until:
+                    raise
+                time.sleep(0.02)
+
     @property
     def where(self) -> tuple[str, int]:
         name: tuple[str, int] = self._sock.getsockname()
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -51,10 +51,14 @@
 
 MARGIN = 10 * MS  # a call is given up so long before its caller would, or the two would cross
 PROBE_WAIT = 250 * MS
+SILENT = 2 * SECOND  # a connection that has brought nothing for so long is doubted
+VANISHED = 4 * SECOND  # and after so long its machine is given up, if no new connection comes up either
+WATCH = 500 * MS  # how often that is looked at
 REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
+LINKS_MOST = 4  # connections to one server
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
-STOP_MOST = 3400 * MS  # the kill comes no sooner than 3.7 s
+STOP_MOST = 3200 * MS  # the kill comes no sooner than 3.7 s; what is open by then is answered first
 UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
 TURN_MOST = 1000  # messages dealt with in one turn
 CALLER_SHARE = 0.5  # of the descriptors; callers hold a third at most, this guards the rest
@@ -117,6 +121,7 @@
     lost: bool = False  # the last connection broke, and none has come up since
     redial_after: int = REDIAL_FIRST
     redial_pending: bool = False
+    retiring: list[Link] = field(default_factory=list)  # silent ones, until what is out on them is over
     waiting: list[Attempt] = field(default_factory=list)  # for a connection
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: out, or standing
 
@@ -332,14 +337,22 @@
             attempt.server.waiting.remove(attempt)
         if attempt.call.attempt is attempt:
             attempt.call.attempt = None
+        if attempt.link in attempt.server.retiring:
+            self.retire(attempt.server)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Stop an attempt that is out, towards its server too."""
-        self.drop(attempt)
-        if attempt.link is not None:
-            attempt.link.send(Release(attempt.call.wire, Reason.CLEARED))
+        server, link = attempt.server, attempt.link
+        if link is not None:
+            link.send(Release(attempt.call.wire, Reason.CLEARED))
+            silent = link.heard_at < min(attempt.sent_at, self.floor.now - SILENT)
+            if silent and link is server.link:
+                # Nothing at all since before the set-up was sent. A machine that was cut off may be back
+                # while its old connections stay silent for ever: try a new one beside this.
+                self.connect(server, beside=True)
         elif outcome is Outcome.TIMEOUT:
             outcome = Outcome.CONNECT_FAILED  # it never left: nothing may be held against the call
+        self.drop(attempt)
         self.route.ended(attempt, outcome, over=attempt.call.wire not in self.floor.open)
 
     def expire(self, attempt: Attempt) -> None:
@@ -354,26 +367,48 @@
 
     # Connections to servers.
 
-    def connect(self, server: Server) -> None:
-        if server.link is None and not server.dialing and server.state is not ServerState.GONE:
+    def connect(self, server: Server, beside: bool = False) -> None:
+        wanted = beside or server.link is None
+        if wanted and not server.dialing and server.state is not ServerState.GONE:
             server.dialing = True
             self.floor.counts["dials"] += 1
             links.dial(server.dial, self.floor.config.dial_timeout, self.floor.inbox, server)
 
     def opened(self, link: Link, server: Server) -> None:
         server.dialing = False
-        if server.state is ServerState.GONE or server.link is not None:
+        if server.state is ServerState.GONE:
             return link.close()
+        if server.link is not None:
+            server.retiring.append(server.link)
+            self.floor.counts["links_replaced"] += 1
+        link.heard_at = self.floor.now
         server.link, server.linked_at, server.lost = link, self.floor.now, False
         waiting, server.waiting = server.waiting, []
         for attempt in waiting:
             self._write(attempt)
+        self.retire(server)
+
+    def retire(self, server: Server) -> None:
+        """Close replaced connections with nothing out on them, and the oldest where there are several."""
+        busy = {a.link for a in server.attempts.values() if not a.stands}
+        while server.retiring and (len(server.retiring) >= LINKS_MOST - 1 or server.retiring[0] not in busy):
+            server.retiring.pop(0).close()  # what was out on it is given up when its end is heard
 
     def failed(self, failure: DialFailed) -> None:
         server: Server = failure.owner
         server.dialing = False
         self.floor.counts["dials_refused" if failure.refused else "dials_failed"] += 1
         self.stranded(server)
+        if server.link is not None:
+            # It was to stand beside one that is still there.
+            if failure.refused or self.floor.now - server.link.heard_at > VANISHED:
+                # Silent for long, and no new connection comes up: the machine has vanished, and what stood
+                # there with it. The bulletin may tell only when it is back, too late for the callers.
+                self.floor.counts["servers_vanished"] += 1
+                server.link.close()
+                self.cut(server, self.floor.now)
+                self.closed(server.link, server)
+            return
         if failure.refused and server.lost:
             # Reset, and now nobody listens: the process has died, and its calls with it. The bulletin says so
             # seconds later, and the callers are to be told within one.
@@ -404,6 +439,8 @@
         """The set-ups open on a connection are given up with it; a call that stands belongs to none."""
         if server.link is link:
             server.link, server.lost = None, True
+        elif link in server.retiring:
+            server.retiring.remove(link)
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.drop(attempt)
             self.route.ended(attempt, Outcome.RESET, over=attempt.call.wire not in self.floor.open)
@@ -412,6 +449,13 @@
         server.redial_after = REDIAL_FIRST
         self.connect(server)
 
+    def watch(self) -> None:
+        """Doubt a connection that is silent while calls are there: a new one beside it shows who is alive."""
+        self.floor.at(self.floor.now + WATCH, self.watch)
+        for server in self.floor.servers.values():
+            if server.link and server.attempts and self.floor.now - server.link.heard_at > SILENT:
+                self.connect(server, beside=True)
+
     def cut(self, server: Server, before: int) -> None:
         """The process that served until then is gone: what stood or was out there is cut."""
         for attempt in [a for a in server.attempts.values() if a.sent_at <= before]:
@@ -491,6 +535,13 @@
         """The caller releases a call that stands."""
         attempt = self.floor.standing.get(message.call)
         if attempt is None:
+            if message.call not in self.book.ended:
+                # A call of this softswitch's life before its restart: whichever server has it will know.
+                self.book.remember(message.call)
+                self.floor.counts["releases_inherited"] += 1
+                for server in self.floor.servers.values():
+                    if server.link is not None:
+                        server.link.send(Release(message.call, message.reason))
             return False
         self.send.drop(attempt)
         self.book.remember(message.call)
@@ -647,6 +698,7 @@
         """Serve until told to stop, then answer what was taken."""
         floor = self.floor
         self.route.tell(api.Started())
+        self.send.watch()
         after, events = bulletin.read_events(floor.config.known)
         for event in events:
             self.list(event)
@@ -654,6 +706,8 @@
         self.listener.start()
         while not self._finished():
             self.turn()
+        for call in list(floor.open.values()):
+            self.take_in.overdue(call)  # better a failure now than silence at the kill
         self.listener.close()
         self._flush()
         self.print_counts()
@@ -663,7 +717,7 @@
         batch: list[Any] = []
         try:
             due = floor.timers[0][0] if floor.timers else floor.now + SECOND
-            wait = (due - time.monotonic_ns() // NS) / SECOND
+            wait = (due - floor.now) / SECOND  # of this turn's start: the clock is read once a turn
             batch.append(floor.inbox.get(timeout=min(wait, 0.2)) if wait > 0 else floor.inbox.get_nowait())
             while len(batch) < TURN_MOST:
                 batch.append(floor.inbox.get_nowait())
@@ -692,6 +746,7 @@
         match item:
             case Came(link=link, message=message):
                 link.taken()
+                link.heard_at = self.floor.now
                 if isinstance(link.owner, Server):
                     self.from_server(link.owner, link, message)
                 else:
@@ -767,6 +822,9 @@
                 self.send.stranded(server)
             self.send.cut(server, before)
             # A connection made after the start leads to the new process already.
+            for link in list(server.retiring):
+                link.close()
+                self.send.closed(link, server)
             if server.link is not None and (server.state is ServerState.GONE or server.linked_at <= before):
                 server.link.close()
                 self.send.closed(server.link, server)
