Tell a late answer on a replaced connection from the one that is awaited

Seen, in reading: since a silent connection may be replaced while attempts are out on it, an answer to an attempt given up there could arrive when the same call is out again on its successor, and pass for the new one's (Relay.answer, Relay.release looked at the call and the server only). What is out is now spoken of on its own connection while that is open; only what stands may be spoken of on any. A story covers it. At the end what is queued is written before the sockets go, and nothing is added to them.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -597,3 +597,18 @@
     assert town.switch is not None
     town.switch.stop_asked = True
     assert caller.hear(Release, call).reason is Reason.FAILED
+
+
+def test_an_answer_on_another_connection_than_its_set_ups_open_one_is_an_earlier_attempts(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, server, trunk, caller = one
+    monkeypatch.setattr(module, "SILENT", 200_000)
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    again = server.accept()
+    monkeypatch.setattr(module, "SILENT", 10**9)
+    again.say(Answer(call, b"stale"))
+    wait_for(lambda: town.switch is not None and town.switch.floor.counts["strays"] == 1)
+    trunk.say(Answer(call, b"fresh"))
+    assert caller.hear(Answer, call).description == b"fresh"
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -126,6 +126,12 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
+    def finish(self) -> None:
+        """Nothing more will be said; what is queued is still written."""
+        with self._more:
+            self._last = True
+            self._more.notify()
+
     def drained(self) -> bool:
         return self._waiting == 0
 
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -499,9 +499,9 @@
     def __init__(self, floor: Floor, route: Route, send: Send, book: Book) -> None:
         self.floor, self.route, self.send, self.book = floor, route, send, book
 
-    def answer(self, server: Server, message: Answer) -> None:
+    def answer(self, server: Server, link: Link, message: Answer) -> None:
         attempt = server.attempts.get(message.call)
-        if attempt is None or attempt.stands or attempt.link is None:
+        if attempt is None or attempt.stands or self._stale(attempt, link):
             self.floor.counts["strays"] += 1  # an answer to what has been given up; the server knows by now
             return
         call = attempt.call
@@ -515,6 +515,8 @@
     def release(self, server: Server, link: Link, message: Release) -> None:
         link.send(ReleaseHeard(message.call))
         attempt = server.attempts.get(message.call)
+        if attempt is not None and not attempt.stands and self._stale(attempt, link):
+            attempt = None
         if attempt is None:
             if message.call in self.book.ended or message.call in self.floor.open:
                 self.floor.counts["strays"] += 1  # a server repeats its own
@@ -531,6 +533,11 @@
         outcome = SERVER_OUTCOMES.get(message.reason, Outcome.ERROR)
         self.route.ended(attempt, outcome, attempt.call.wire not in self.floor.open, message)
 
+    def _stale(self, attempt: Attempt, link: Link) -> bool:
+        """Whether this is about an earlier attempt of the same call there, on a connection replaced since:
+        what is out is spoken of on its own connection while that is open."""
+        return attempt.link is None or (attempt.link is not link and not attempt.link.closed)
+
     def hung_up(self, message: Release) -> bool:
         """The caller releases a call that stands."""
         attempt = self.floor.standing.get(message.call)
@@ -782,7 +789,7 @@
     def from_server(self, server: Server, link: Link, message: Message) -> None:
         match message:
             case Answer():
-                self.relay.answer(server, message)
+                self.relay.answer(server, link, message)
             case Release():
                 self.relay.release(server, link, message)
             case GroupState(call=number, report=figures) | TestResult(call=number, report=figures):
@@ -840,8 +847,11 @@
         return since >= STOP_MOST or (since >= NOTICE and not floor.open)
 
     def _flush(self) -> None:
-        until = time.monotonic() + 0.1
-        while time.monotonic() < until and not all(link.drained() for link in self.floor.callers):
+        ends = [*self.floor.callers, *(s.link for s in self.floor.servers.values() if s.link)]
+        for link in ends:
+            link.finish()
+        until = time.monotonic() + 0.1  # a peer that does not read must not hold the end up
+        while time.monotonic() < until and not all(link.drained() for link in ends):
             time.sleep(0.002)
 
     def print_counts(self) -> None:
