Cut no calls for a refused connect beside an open connection: a draining server refuses too

The server was draining from 7.98 s and gone at 22.49 s; the calls came at 15 to 20 s. Checked: Send.failed took a refused connect beside a silent open connection for a death. But a machine that refuses lives, and so does a process whose connection is open: a draining server takes no newcomers, serves what it has, and has little to say. Also: releases for callers go only where a call has been spoken of, never on the front's test connections; what a dead process had is taken down connections first, so that nothing new goes out on them.

--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -164,7 +164,10 @@
         self.open: dict[int, Call] = {}  # by the id in messages: no final answer yet
         self.numbers: dict[int, Call] = {}  # the same by the controller's id
         self.standing: dict[int, Attempt] = {}  # by the id in messages
-        self.callers: dict[Link, None] = {}  # connections from callers, oldest first
+        self.callers: dict[Link, None] = {}  # connections that were accepted, oldest first
+        self.speakers: dict[
+            Link, None
+        ] = {}  # those on which a call was spoken of: the front's tests are none
         self.counts: Counter[str] = Counter()
         self.list_known = False
         self.stopping_at = 0
@@ -205,7 +208,7 @@
     def released(self, release: Release, caller: Link | None) -> None:
         """Release a call that stood, on its own connection or any other from callers."""
         self.remember(release.call)
-        for link in (*([caller] if caller else []), *reversed(self.floor.callers)):
+        for link in (*([caller] if caller else []), *reversed(self.floor.speakers)):
             if not link.closed and link.send(release):
                 # Written is not heard: the caller may be closing this connection just now.
                 link.unheard[release.call] = release
@@ -215,8 +218,11 @@
                 return
         self.unsent.append(release)
 
-    def opened(self, link: Link) -> None:
-        """Releases that found no connection go out on the next."""
+    def spoke(self, link: Link) -> None:
+        """A caller is there: releases that found no connection go out."""
+        if link in self.floor.speakers:
+            return
+        self.floor.speakers[link] = None
         waiting, self.unsent = self.unsent, []
         for release in waiting:
             self.released(release, link)
@@ -400,14 +406,13 @@
         self.floor.counts["dials_refused" if failure.refused else "dials_failed"] += 1
         self.stranded(server)
         if server.link is not None:
-            # It was to stand beside one that is still there.
-            if failure.refused or self.floor.now - server.link.heard_at > VANISHED:
+            # It was to stand beside one that is still there. Refused, it says that the machine lives, and the
+            # open one that its process does: a draining server takes no newcomers and serves what it has.
+            if not failure.refused and self.floor.now - server.link.heard_at > VANISHED:
                 # Silent for long, and no new connection comes up: the machine has vanished, and what stood
                 # there with it. The bulletin may tell only when it is back, too late for the callers.
                 self.floor.counts["servers_vanished"] += 1
-                server.link.close()
-                self.cut(server, self.floor.now)
-                self.closed(server.link, server)
+                self.abandon(server, self.floor.now)
             return
         if failure.refused and server.lost:
             # Reset, and now nobody listens: the process has died, and its calls with it. The bulletin says so
@@ -456,6 +461,22 @@
             if server.link and server.attempts and self.floor.now - server.link.heard_at > SILENT:
                 self.connect(server, beside=True)
 
+    def abandon(self, server: Server, before: int) -> None:
+        """The process that served until then is gone, its connections with it.
+
+        They go first: what the controller sends to its successor on hearing of a cut must find none of them.
+        """
+        stale = [*server.retiring]
+        # A connection made after the start leads to the new process already.
+        if server.link and (server.state is ServerState.GONE or server.linked_at <= before):
+            stale.append(server.link)
+        for link in stale:
+            link.close()
+            self.closed(link, server)
+        if server.state is ServerState.GONE:
+            self.stranded(server)
+        self.cut(server, before)
+
     def cut(self, server: Server, before: int) -> None:
         """The process that served until then is gone: what stood or was out there is cut."""
         for attempt in [a for a in server.attempts.values() if a.sent_at <= before]:
@@ -666,6 +687,7 @@
 
     def closed(self, link: Link) -> None:
         self.floor.callers.pop(link, None)
+        self.floor.speakers.pop(link, None)
         for call in list(link.calls.values()):
             self.left(call)
         self.book.closed(link)
@@ -762,7 +784,6 @@
                 self.send.opened(link, link.owner)
             case Opened(link=link):
                 self.floor.callers[link] = None
-                self.book.opened(link)
             case Closed(link=link, malformed=malformed):
                 link.closed = True
                 self.floor.counts["malformed"] += malformed
@@ -778,8 +799,10 @@
     def from_caller(self, link: Link, message: Message) -> None:
         match message:
             case SetUp():
+                self.book.spoke(link)
                 self.take_in.set_up(link, message)
             case Release():
+                self.book.spoke(link)
                 self.take_in.release(link, message)
             case Test():
                 self.take_in.test(link, message)
@@ -826,15 +849,7 @@
         for server, before in away:
             if server.state is ServerState.GONE:
                 del floor.servers[server.host]
-                self.send.stranded(server)
-            self.send.cut(server, before)
-            # A connection made after the start leads to the new process already.
-            for link in list(server.retiring):
-                link.close()
-                self.send.closed(link, server)
-            if server.link is not None and (server.state is ServerState.GONE or server.linked_at <= before):
-                server.link.close()
-                self.send.closed(server.link, server)
+            self.send.abandon(server, before)
         for server in floor.servers.values():
             self.send.connect(server)
         floor.list_known = floor.list_known or bool(floor.servers)
