Take a second refused connect before a process counts as dead, and log each cut with its cause

With a log line for each cut, all came 2 ms after the draining server's last connection was reset, at the first refused connect (Send.failed); the list said 'gone' half a second later. Checked: no other cause shows in the logs of the four softswitches. Ruled out: the watch on silent machines. Now the second refusal counts, a quarter of a second later: what the process said last has come by then, and one refused connect may be a passing thing.

--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -53,6 +53,7 @@
 PROBE_WAIT = 250 * MS
 SILENT = 2 * SECOND  # a connection that has brought nothing for so long is doubted
 VANISHED = 4 * SECOND  # and after so long its machine is given up, if no new connection comes up either
+DEAD = 2  # connects refused in a row, after a reset, that mean a dead process
 WATCH = 500 * MS  # how often that is looked at
 REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
 LINKS_MOST = 4  # connections to one server
@@ -119,6 +120,7 @@
     linked_at: int = 0  # when that connection came up
     dialing: bool = False
     lost: bool = False  # the last connection broke, and none has come up since
+    refusals: int = 0  # connects refused since
     redial_after: int = REDIAL_FIRST
     redial_pending: bool = False
     retiring: list[Link] = field(default_factory=list)  # silent ones, until what is out on them is over
@@ -388,7 +390,7 @@
             server.retiring.append(server.link)
             self.floor.counts["links_replaced"] += 1
         link.heard_at = self.floor.now
-        server.link, server.linked_at, server.lost = link, self.floor.now, False
+        server.link, server.linked_at, server.lost, server.refusals = link, self.floor.now, False, 0
         waiting, server.waiting = server.waiting, []
         for attempt in waiting:
             self._write(attempt)
@@ -412,12 +414,13 @@
                 # Silent for long, and no new connection comes up: the machine has vanished, and what stood
                 # there with it. The bulletin may tell only when it is back, too late for the callers.
                 self.floor.counts["servers_vanished"] += 1
-                self.abandon(server, self.floor.now)
+                self.abandon(server, self.floor.now, "silent, and no new connection comes up")
             return
-        if failure.refused and server.lost:
+        server.refusals += failure.refused and server.lost
+        if server.refusals == DEAD:
             # Reset, and now nobody listens: the process has died, and its calls with it. The bulletin says so
-            # seconds later, and the callers are to be told within one.
-            self.cut(server, self.floor.now)
+            # seconds later. Not at the first refusal: what the process said last may be on its way still.
+            self.cut(server, self.floor.now, "reset, and refuses connections")
         self.redial(server)
 
     def stranded(self, server: Server) -> None:
@@ -461,7 +464,7 @@
             if server.link and server.attempts and self.floor.now - server.link.heard_at > SILENT:
                 self.connect(server, beside=True)
 
-    def abandon(self, server: Server, before: int) -> None:
+    def abandon(self, server: Server, before: int, why: str) -> None:
         """The process that served until then is gone, its connections with it.
 
         They go first: what the controller sends to its successor on hearing of a cut must find none of them.
@@ -475,13 +478,14 @@
             self.closed(link, server)
         if server.state is ServerState.GONE:
             self.stranded(server)
-        self.cut(server, before)
+        self.cut(server, before, why)
 
-    def cut(self, server: Server, before: int) -> None:
+    def cut(self, server: Server, before: int, why: str) -> None:
         """The process that served until then is gone: what stood or was out there is cut."""
-        for attempt in [a for a in server.attempts.values() if a.sent_at <= before]:
-            if attempt in server.waiting:
-                continue
+        lost = [a for a in server.attempts.values() if a.sent_at <= before and a not in server.waiting]
+        if lost:
+            log.warning("%s (%s): %s; %d calls", server.host, server.state.value, why, len(lost))
+        for attempt in lost:
             self.drop(attempt)
             if attempt.stands:
                 self.floor.counts["calls_cut"] += 1
@@ -849,7 +853,8 @@
         for server, before in away:
             if server.state is ServerState.GONE:
                 del floor.servers[server.host]
-            self.send.abandon(server, before)
+            why = "gone" if server.state is ServerState.GONE else "started anew"
+            self.send.abandon(server, before, why)
         for server in floor.servers.values():
             self.send.connect(server)
         floor.list_known = floor.list_known or bool(floor.servers)
