--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -146,14 +146,14 @@
         conf["limits"].update({"dial_timeout_ns": 500_000_000, "probes": True, "max_open": 100, **more})
         conf["stats"] = {"columns": ["free", "size", "hold_back", "avg_ms"]}
         items = [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": list(hosts)}}] if hosts else []
-        text = json.dumps(
+        self.text = json.dumps(
             {
                 "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": conf,
                 "bulletin": self.bulletin.dial, "known": {"no": len(items), "items": items},
                 "limits": {"sockets": 256},
             }
         )  # fmt: skip
-        self.switch = Softswitch(Config.read(text))
+        self.switch = Softswitch(Config.read(self.text), lambda: Config.read(self.text))
         self.thread = threading.Thread(target=self.switch.run)
         self.thread.start()
 
@@ -381,6 +381,27 @@
     stands(town, server.accept(), caller)
 
 
+@pytest.mark.parametrize("broken", ["", "{", "[]", '{"name": "n0"}'])
+def test_a_reload_moves_the_bulletin_and_drops_nothing(one: One, broken: str) -> None:
+    town, _, trunk, caller = one
+    assert town.switch is not None
+    call, whole = town.call(caller), town.text
+    trunk.hear(SetUp, call)
+    for text in (broken, whole.replace(town.bulletin.dial, "nowhere"), whole):
+        town.text = text
+        town.switch.reload_asked = True
+        wait_for(lambda: town.switch is not None and not town.switch.reload_asked)
+    assert town.switch.floor.counts["reloads_failed"] == 2  # what cannot be read changes nothing
+    old, town.bulletin, newcomer = town.bulletin, Bulletin(), Server()
+    town.bulletin.number = old.number  # the numbering goes on
+    town.text = whole.replace(old.dial, town.bulletin.dial)
+    town.switch.reload_asked = True
+    town.bulletin.tell(line(newcomer, "s-2", 1))
+    newcomer.accept()
+    trunk.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+
+
 def test_nothing_goes_to_a_draining_server(one: One) -> None:
     town, server, trunk, caller = one
     call = stands(town, trunk, caller)
@@ -543,9 +564,11 @@
         heard = by_hand("call", *to).stdout.splitlines()
         assert heard[0].startswith("Answer")
         assert "CLEARED" in heard[1]
+        switch.send_signal(signal.SIGHUP)  # its default would end the process
         switch.send_signal(signal.SIGUSR1)
         assert switch.stdout is not None
-        assert json.loads(switch.stdout.readline())["answered_stands"] == 1
+        counted = json.loads(switch.stdout.readline())
+        assert (counted["answered_stands"], counted["reloads"]) == (1, 1)
         switch.send_signal(signal.SIGTERM)
         assert json.loads(switch.stdout.readline())["taken_in"] == 1
         assert switch.wait(PATIENCE) == 0
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -31,7 +31,7 @@
 def read(path: Path) -> softswitch.Config:
     try:
         return softswitch.Config.read(path.read_bytes())
-    except (OSError, ValueError, KeyError, TypeError) as trouble:
+    except (OSError, ValueError, LookupError, TypeError, AttributeError) as trouble:
         raise click.ClickException(f"{path}: {trouble!r}") from trouble
 
 
@@ -100,23 +100,27 @@
 @CONFIG
 @click.option("--verbose", is_flag=True, help="Log more than warnings.")
 def serve(path: Path, verbose: bool) -> None:
-    """Serve calls until SIGTERM; SIGUSR1 prints the counters."""
+    """Serve calls until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters."""
     logging.basicConfig(
         stream=sys.stderr,
         level=logging.INFO if verbose else logging.WARNING,
         format="%(asctime)s %(name)s %(message)s",
     )
     threading.stack_size(links.STACK)
-    switch = softswitch.Softswitch(read(path))
+    switch = softswitch.Softswitch(read(path), lambda: read(path))
 
     def stop(*_: object) -> None:
         switch.stop_asked = True
 
+    def reload(*_: object) -> None:
+        switch.reload_asked = True
+
     def count(*_: object) -> None:
         switch.counts_asked = True
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGHUP, reload)  # its default would end the process
     signal.signal(signal.SIGUSR1, count)
     host, port = switch.listener.where
     click.echo(f"{switch.floor.config.name} listens on {host}:{port}", err=True)
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -85,11 +85,27 @@
     def __init__(self, where: str, after: int, hand_on: Callable[[Roster], None]) -> None:
         self._where, self._after, self._hand_on = where, after, hand_on
         self._sock: socket.socket | None = None
+        self._to = ""  # where that leads
         self._rest = b""
+        self._lock = threading.Lock()  # over where to call and the socket, which `move` reaches into
+        self._moved = threading.Event()
 
     def start(self) -> None:
         threading.Thread(target=self._follow, daemon=True).start()
 
+    def move(self, where: str) -> None:
+        """Follow the bulletin at another address, from the number that was reached.
+
+        The thread may be in the middle of a call that will never be answered: it is woken, since what the new
+        address has to tell counts as told soon after. Never blocks.
+        """
+        with self._lock:
+            self._where, sock = where, self._sock
+            self._moved.set()
+            if sock is not None:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
     def _follow(self) -> None:
         while True:
             try:
@@ -97,7 +113,8 @@
             except (OSError, BadAnswer) as trouble:
                 log.warning("bulletin: %s", trouble)
                 self._hang_up()
-                time.sleep(PAUSE_S)
+                self._moved.wait(PAUSE_S)  # a new address is called at once
+                self._moved.clear()
 
     def once(self) -> None:
         """One call; what it brought is handed on."""
@@ -109,19 +126,32 @@
         self._after = max(self._after, last)
 
     def _hang_up(self) -> None:
-        if self._sock is not None:
+        with self._lock:
+            sock, self._sock, self._rest = self._sock, None, b""
+        if sock is not None:
             with contextlib.suppress(OSError):
-                self._sock.close()
-        self._sock, self._rest = None, b""
+                sock.close()
+
+    def _connect(self) -> socket.socket:
+        """The connection to where the bulletin is now."""
+        where = self._where
+        if self._sock is not None and self._to == where:
+            return self._sock
+        self._hang_up()
+        sock = socket.create_connection(links.address(where), timeout=GRACE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with self._lock:
+            self._sock, self._to = sock, where
+            if where != self._where:
+                raise BadAnswer("moved while connecting")
+        return sock
 
     def _get(self, path: str) -> Any:
-        if self._sock is None:
-            self._sock = socket.create_connection(links.address(self._where), timeout=GRACE_S)
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = self._connect()
         # One clock for the whole answer: a bulletin that drips a byte now and then must not hold us for ever.
         until = time.monotonic() + PATIENCE_MS / 1000 + GRACE_S
-        request = f"GET {path} HTTP/1.1\r\nHost: {self._where}\r\nAccept: application/json\r\n\r\n"
-        self._sock.sendall(request.encode())
+        request = f"GET {path} HTTP/1.1\r\nHost: {self._to}\r\nAccept: application/json\r\n\r\n"
+        sock.sendall(request.encode())
         head = self._until(b"\r\n\r\n", until).decode("latin-1").split("\r\n")
         status = head[0].split(" ", 2)
         if len(status) < 2 or not status[0].startswith("HTTP/1.") or status[1] != "200":
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -49,6 +49,7 @@
 SECOND = 1000 * MS
 NS = 1000  # nanoseconds in a microsecond: the controller's unit
 
+LONGEST = 60 * SECOND  # a caller's wait where the settings name none
 MARGIN = 10 * MS  # a call is given up so long before its caller would, or the two would cross
 PROBE_WAIT = 250 * MS
 SILENT = 2 * SECOND  # a connection that has brought nothing for so long is doubted
@@ -59,7 +60,8 @@
 LINKS_MOST = 4  # connections to one server
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
-STOP_MOST = 3200 * MS  # the kill comes no sooner than 3.7 s; what is open by then is answered first
+STOP_AFTER = 400 * MS  # and the kill no sooner than the longest deadline, or this much of it, and 0.7 s:
+STOP_MOST = 3 * SECOND  # what is open after deadline and STOP_AFTER is answered first
 UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
 TURN_MOST = 1000  # messages dealt with in one turn
 CALLER_SHARE = 0.5  # of the descriptors; callers hold a third at most, this guards the rest
@@ -85,6 +87,8 @@
     known: Any
     settings: api.Settings
     classes: dict[str, int]
+    longest: tuple[int, ...]  # by class: how long a caller waits at most
+    widths: tuple[int, ...]  # by class
     max_open: int
     dial_timeout: int
 
@@ -93,6 +97,9 @@
         raw = ujson.loads(text)
         conf = raw["settings"]
         limits = conf["limits"]
+        classes = conf["classes"]
+        widths = conf.get("family_info", {}).get("widths") or [1] * len(classes)
+        links.address(str(raw["bulletin"]))  # one that cannot be called is no configuration
         return cls(
             name=str(raw["name"]),
             listen=str(raw["listen"]),
@@ -101,7 +108,9 @@
             bulletin=str(raw["bulletin"]),
             known=raw.get("known") or {"no": 0, "items": []},
             settings=read_settings(conf),
-            classes={str(item["name"]): place for place, item in enumerate(conf["classes"])},
+            classes={str(item["name"]): place for place, item in enumerate(classes)},
+            longest=tuple(int(item.get("give_up_ns") or LONGEST * NS) // NS for item in classes),
+            widths=tuple(int(widths[place]) for place in range(len(classes))),
             max_open=int(limits.get("max_open") or 20000),
             dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
         )
@@ -700,8 +709,9 @@
 class Softswitch:
     """Builds the stages and turns the loop."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, reread: Callable[[], Config] | None = None) -> None:
         now = time.monotonic_ns() // NS
+        self.reread = reread  # how the configuration is read again
         # Fixed once: a start that seemed to move would read as a restart.
         self.unix_at_zero = time.time_ns() // NS - now
         floor = self.floor = Floor(config, now)
@@ -724,7 +734,9 @@
         }
         most = int(config.sockets * CALLER_SHARE)
         self.listener = links.Listener(config.listen, floor.inbox, lambda: len(floor.callers) < most)
+        self.bulletin: bulletin.Client | None = None
         self.stop_asked = False
+        self.reload_asked = False
         self.counts_asked = False
 
     def run(self) -> None:
@@ -735,7 +747,8 @@
         after, events = bulletin.read_events(floor.config.known)
         for event in events:
             self.list(event)
-        bulletin.Client(floor.config.bulletin, after, floor.inbox.put).start()
+        self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put)
+        self.bulletin.start()
         self.listener.start()
         while not self._finished():
             self.turn()
@@ -763,10 +776,36 @@
             self.guard(heapq.heappop(floor.timers)[2])
         if self.stop_asked and not floor.stopping_at:
             floor.stopping_at = floor.now
+        if self.reload_asked:
+            self.reload_asked = False
+            self.guard(self.reload)
         if self.counts_asked:
             self.counts_asked = False
             self.print_counts()
 
+    def reload(self) -> None:
+        """Read the configuration again; one that cannot be read changes nothing.
+
+        Only the bulletin's address can change under way: calls and connections are none of its business, and
+        whatever else has changed takes a restart.
+        """
+        floor = self.floor
+        try:
+            config = self.reread() if self.reread else floor.config
+        except Exception as trouble:  # whatever a half-written file brings about, serving goes on
+            floor.counts["reloads_failed"] += 1
+            log.error("the old configuration stays: %s", trouble)
+            return
+        floor.counts["reloads"] += 1
+        old = floor.config
+        for name in ("name", "listen", "sockets", "settings", "classes"):
+            if getattr(config, name) != getattr(old, name):
+                log.warning("%s has changed in the configuration: that takes a restart", name)
+        if config.bulletin != old.bulletin and self.bulletin is not None:
+            log.warning("the bulletin moves from %s to %s", old.bulletin, config.bulletin)
+            old.bulletin = config.bulletin
+            self.bulletin.move(config.bulletin)
+
     def guard(self, do: Callable[[], None]) -> None:
         """An error of our own costs the one message or timer, never the calls of everybody else."""
         try:
@@ -864,7 +903,8 @@
         if not floor.stopping_at:
             return False
         since = floor.now - floor.stopping_at
-        return since >= STOP_MOST or (since >= NOTICE and not floor.open)
+        most = min(max(floor.config.longest), STOP_MOST) + STOP_AFTER
+        return since >= most or (since >= NOTICE and not floor.open)
 
     def _flush(self) -> None:
         ends = [*self.floor.callers, *(s.link for s in self.floor.servers.values() if s.link)]
