Refuse what no server can use, close silent callers, and hold errors against the call

Checked with a trace of every set-up in and out. All 47 set-ups with id 0 went on and made servers close the shared connection. A set-up under the id of another's open call took its answer over (TakeIn.set_up moved `call.caller` whatever the message said): those were the 'served'. `dest:99`, `dest:-3`, `width:0` and `width:400` went on and came back as errors, and Controller._learn marked the server and took each error for load (a sample of 2.0): hence the refusals. Ruled out: the load itself (servers were half idle) and CPU.

Now a set-up is checked against the settings before it is admitted; an id that is taken takes nothing over, a release of an open call counts on its own connection only. A connection that never speaks, stops short or has had no call for long is closed; where connections run out, unused ones make room (newcomers were closed at the door). Bounds: remembered ids, unsent releases, releases of unknown calls that reach servers, callers' outboxes, messages ahead, open calls by memory. Servers that left are forgotten after a minute. An answer that stops short ends its connection after 0.2 s.

--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -35,6 +35,7 @@
 LOSSY = 0.1  # above this part lost, a set-up out for long is called off early
 MARK = SECOND // 5  # skip mark after one 'processor full' or time-out
 MARK_MOST = 3 * SECOND  # longest mark of a server that keeps failing
+ERRORS = 5  # errors with no call that stands between them, before a server is held to have failed
 SUSPECT = 2  # failures in a row after which a server gets one trial at a time
 QUIET = SECOND  # evidence older than this says nothing about now
 WINDOW_START = 2.0  # set-ups out at one server before anything is known of it
@@ -43,6 +44,7 @@
 COLD_BURST = 0.1  # part of the budget that may be saved up; the rest flows in over the window
 PROBE_EVERY = 5  # sampling intervals between probes of a server, where probes are allowed
 LEAST_RATE = 0.1  # set-ups a second counted on at any server: it is tried again after two of them
+FORGET = 60 * SECOND  # a server that is gone is known for so long, should it come back
 GOLDEN = (math.sqrt(5) - 1) / 2
 TICK_TOKEN = 0  # timer of the control loop; the timer of a call is its id + 1
 
@@ -56,6 +58,7 @@
     started: int  # as the list says; 0: long ago
     cold_since: int  # the same, or later where a restart is suspected
     state: ServerState = ServerState.GONE
+    told_at: int = 0  # when the list last spoke of it
     rho: float | None = None  # smoothed occupancy
     share: float = 1.0  # pass share p
     evidence: list[float] = field(default_factory=list)  # occupancy samples of this interval
@@ -66,6 +69,7 @@
     base: float = 0.0  # shortest set-up time seen, slowly forgotten
     mark_until: int = 0
     fails: int = 0  # in a row
+    errors: int = 0  # since a call last stood there
     alive_at: int = 0  # last sign of life
     credit: float = 0.0  # sends a cold server may be given now
     credit_at: int = 0
@@ -87,6 +91,7 @@
     server: Server | None = None  # where the one attempt is out
     off_at: int = 0  # when that has taken far longer than usual
     blocked_until: int = 0  # release wait
+    erred: Server | None = None  # has answered an attempt with an error
     stuck: bool = False  # an attempt may have run, and must not run twice
 
 
@@ -142,6 +147,8 @@
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
         wanted, allowed = call.event.first_choice, call.klass.allowed
         usable = [s for s in self.active if self._unmarked(s) and (allowed is None or s.number in allowed)]
+        # After an error another server is asked: that tells whose fault it was.
+        usable = [s for s in usable if s is not call.erred] or usable
         others = [s for s in usable if s.number != wanted and not call.event.transit]
         # Servers differ twentyfold: each fills a part of the ring by its free lines while it has room, or by
         # its lines if none has, so that what marks turn away does not fall on small and large alike.
@@ -249,7 +256,7 @@
         server.base = min(server.base * BASE_DRIFT, event.took) if server.base else event.took
         if server.fails >= SUSPECT and server.heard_at > server.alive_at:
             server.cold_since = max(server.cold_since, self.now)  # silent till now: restarted, perhaps
-        server.fails, server.alive_at = 0, self.now
+        server.fails, server.errors, server.alive_at = 0, 0, self.now
         target = self._target_time(server)
         self._witness(server, event.took / target)
         # The window opens while set-ups come back within the time aimed at, else it closes.
@@ -275,6 +282,10 @@
             return self._drop(event.call)
         if event.callee_busy:  # no server's fault, and busy by any other: neither blamed nor tried again
             return self._refuse(call)
+        if event.outcome is Outcome.ERROR:
+            if call.erred is not None:
+                return self._fail(event.call)  # twice: no server can use it
+            call.erred = self.servers.get(event.server)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             call.blocked_until = self.now + self.settings.release_wait
         proven = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -292,8 +303,11 @@
         failed |= event.outcome is Outcome.TIMEOUT and not overtaken
         if event.outcome in (Outcome.FULL, Outcome.ENDED, Outcome.ERROR):
             server.alive_at = self.now
-        if failed or (event.outcome is Outcome.ERROR and not event.callee_busy):
-            self._failed(server)
+        # An error is the call's as a rule: its caller has sent what no server can use. Errors alone, with no
+        # call that stands between them, are the server's.
+        server.errors += event.outcome is Outcome.ERROR and not event.callee_busy
+        if failed or (event.outcome is Outcome.ERROR and server.errors >= ERRORS):
+            self._failed(server, loaded=event.outcome is not Outcome.RESET or event.call_over)
         self._report(server, event.report)
 
     def _report(self, server: Server, report: Mapping[str, float]) -> None:
@@ -408,9 +422,13 @@
     def _unmarked(self, server: Server) -> bool:
         return server.mark_until <= self.now and not (server.fails >= SUSPECT and server.out)
 
-    def _failed(self, server: Server) -> None:
-        """Skip a server that failed, longer each time in a row; failures within a mark are the same one."""
-        self._witness(server, FULL)
+    def _failed(self, server: Server, loaded: bool = True) -> None:
+        """Skip a server that failed, longer each time in a row; failures within a mark are the same one.
+
+        A connection that broke says nothing of the load; the cut of a call that stood does.
+        """
+        if loaded:
+            self._witness(server, FULL)
         if server.mark_until <= self.now:
             server.fails += 1
             server.window = max(WINDOW_LEAST, server.window / 2)
@@ -448,4 +466,8 @@
                     new.out, new.base, new.free, new.lines = old.out, old.base, old.free, old.lines
                 self.servers[entry.server] = new
             self.servers[entry.server].state = entry.state
+            self.servers[entry.server].told_at = self.now
+        for name, server in list(self.servers.items()):
+            if server.state is ServerState.GONE and not server.out and self.now - server.told_at > FORGET:
+                del self.servers[name]  # its successors have names of their own: the table would only grow
         self.active = [server for server in self.servers.values() if server.state is ServerState.ACTIVE]
--- a/wickstep/net/__init__.py
+++ b/wickstep/net/__init__.py
@@ -45,6 +45,7 @@
     number: str  # the number called
     description: bytes
     first_choice: int = -1
+    width: int = 1  # lines that the call takes
     repeat: bool = False  # the caller dialled again
     again: bool = False  # the call was cut and comes again
 
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -74,6 +74,10 @@
     def __init__(self) -> None:
         self._rest = bytearray()
 
+    def begun(self) -> bool:
+        """Whether a part of a message is there."""
+        return bool(self._rest)
+
     def feed(self, data: bytes) -> Iterator[Message]:
         self._rest += data
         while len(self._rest) >= LENGTH_FIELD:
@@ -86,13 +90,11 @@
                 return
             raw = bytes(self._rest[:end])
             del self._rest[:end]
-            message = decode(raw)
-            if message is not None:
-                yield message
+            yield decode(raw)
 
 
-def decode(raw: bytes) -> Message | None:
-    """One whole message, its length field included; None for a type that this side has no use for."""
+def decode(raw: bytes) -> Message:
+    """One whole message, its length field included."""
     _, kind, call = HEAD.unpack_from(raw)
     values = _parameters(raw)
     cause = values.get(P_CAUSE, b"")
@@ -104,7 +106,9 @@
         case Kind.PROGRESS:
             return Progress(call)
         case Kind.ANSWER:
-            return Answer(call, values.get(P_DESCRIPTION, b""))
+            if not values.get(P_DESCRIPTION):
+                raise Malformed("an answer without a description")
+            return Answer(call, values[P_DESCRIPTION])
         case Kind.RELEASE:
             if not cause:
                 raise Malformed("a release without a cause")
@@ -123,7 +127,7 @@
             return TestResult(call, cause == b"\x01", _report(values))
         case Kind.GROUP_STATE:
             return GroupState(call, _report(values))
-    return None
+    raise Malformed(f"a message of type {kind}")
 
 
 def _parameters(raw: bytes) -> dict[int, bytes]:
@@ -179,17 +183,20 @@
 
 
 def _set_up(call: int, values: dict[int, bytes]) -> SetUp:
-    figures = _figures(values, P_FIGURES)
-    wanted = figures.get("dest", -1.0)  # `inf` and `nan` are no whole numbers, and so no server's
+    figures = {"dest": -1.0, "width": 1.0, "via": -1.0, "again": 0.0, **_figures(values, P_FIGURES)}
+    # `inf` and `nan` are no whole numbers.
+    if not all(figures[name].is_integer() for name in ("dest", "width", "via", "again")):
+        raise Malformed("a figure is no whole number")
     return SetUp(
         call=call,
         klass=_text(values, P_CLASS),
         wait_ms=_number(values, P_WAIT),
         number=_text(values, P_NUMBER),
         description=values.get(P_DESCRIPTION, b""),
-        first_choice=int(wanted) if wanted.is_integer() else -1,
+        first_choice=int(figures["dest"]),
+        width=int(figures["width"]),
         repeat=_text(values, P_REPEAT) == "1",
-        again=figures.get("again") == 1.0,
+        again=figures["again"] == 1.0,
     )
 
 
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -11,6 +11,7 @@
 import errno
 import logging
 import socket
+import struct
 import threading
 import time
 from collections import deque
@@ -23,12 +24,17 @@
 
 log = logging.getLogger(__name__)
 
+TIMEVAL = struct.Struct("@ll")
 STACK = 128 * 1024  # two threads a connection, hundreds of connections
-OUTBOX_MOST = 256 * 1024  # bytes; a peer that leaves so much unread is not reading
-AHEAD_MOST = 32  # messages of one connection that may wait for the loop
+OUTBOX_MOST = 256 * 1024  # bytes; a server that leaves so much unread is not reading
+CALLER_OUTBOX_MOST = 64 * 1024  # the same for a caller: hundreds of them must fit the memory
+AHEAD_MOST = 8  # messages of one connection that may wait for the loop, of up to 16 KiB each
 CHUNK = 16 * 1024
 BACKLOG = 256
 BIND_S = 3.0
+FIRST_MS = 2000  # a caller that has sent nothing at all by then is closed: hundreds connect and stay silent
+WHOLE_MS = 1500  # and so is one whose message, once begun, is not whole by then
+ANSWER_MS = 200  # the same for a server: what follows would be taken for the message's rest
 
 
 def address(text: str) -> tuple[str, int]:
@@ -71,6 +77,12 @@
     def __init__(self, sock: socket.socket, inbox: Inbox, owner: Any) -> None:
         self.owner = owner
         self.sock = sock
+        self.freed: Callable[[], None] = lambda: None  # called when the descriptor is free
+        self.whole_ms = ANSWER_MS  # how long a message may take from its first byte
+        self.outbox_most = OUTBOX_MOST
+        self.had_call = False  # the loop's: a call that came on it has stood
+        self.first_ms = 0  # how long the peer may be silent at first; 0: for ever
+        self.leaving = False  # the loop's: told to close; what still comes is not taken in
         self.inbox = inbox
         self.heard_at = 0  # the loop's: when the last message was dealt with
         self.closed = False  # the loop's word for it; the threads notice by their socket
@@ -81,6 +93,7 @@
         self._waiting = 0
         self._more = threading.Condition()
         self._last = False  # nothing may be added, what is there is still written
+        self._waits = 0
         self._users = 2  # threads that still use the socket
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
@@ -105,7 +118,7 @@
         with self._more:
             if self._last:
                 return False
-            if self._waiting + len(data) <= OUTBOX_MOST:
+            if self._waiting + len(data) <= self.outbox_most:
                 self._outbox.append(data)
                 self._waiting += len(data)
                 self._more.notify()
@@ -138,11 +151,26 @@
     def _read(self) -> None:
         splitter = codec.Splitter()
         malformed = False
+        until = 0  # when what has begun must be whole; 0: nothing has
         try:
+            self._patience(self.first_ms)
             while data := self.sock.recv(CHUNK):
+                whole = False
                 for message in splitter.feed(data):
+                    whole = True
                     self._ahead.acquire()
                     self.inbox.put(Came(self, message))
+                now = time.monotonic_ns() // 1_000_000
+                if not splitter.begun():
+                    until = 0
+                elif whole or not until:
+                    until = now + self.whole_ms
+                elif now >= until:
+                    raise codec.Malformed("a message that does not end")
+                self._patience(max(until - now, 1) if until else 0)
+        except BlockingIOError:
+            log.info("closing a connection: %s", "a message stops short" if until else "never spoke")
+            malformed = until > 0
         except codec.Malformed as trouble:
             log.warning("closing a connection: %s", trouble)
             malformed = True
@@ -152,13 +180,20 @@
         self._leave()
         self.inbox.put(Closed(self, malformed))
 
+    def _patience(self, ms: int) -> None:
+        """How long the next `recv` may take; the writer's `sendall` is not concerned."""
+        if ms != self._waits:
+            self._waits = ms
+            span = TIMEVAL.pack(*divmod(ms * 1000, 10**6))
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, span)
+
     def _write(self) -> None:
         while True:
             with self._more:
                 while not self._outbox and not self._last:
                     self._more.wait()
                 if not self._outbox:
-                    break
+                    break  # the last word is written
                 data = b"".join(self._outbox)
                 self._outbox.clear()
             try:
@@ -168,6 +203,8 @@
                 break
             with self._more:
                 self._waiting -= len(data)
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)  # the reader comes back
         self._leave()
 
     def _leave(self) -> None:
@@ -177,13 +214,14 @@
             last = self._users == 0
         if last:
             self.sock.close()
+            self.freed()
 
 
 class Listener:
-    """Accepts callers on one address."""
+    """Accepts callers on one address, `most` at a time: others wait in the backlog until there is room."""
 
-    def __init__(self, where: str, inbox: Inbox, room: Callable[[], bool]) -> None:
-        self._inbox, self._room = inbox, room
+    def __init__(self, where: str, inbox: Inbox, most: int) -> None:
+        self._inbox, self._room = inbox, threading.Semaphore(most)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._bind(address(where))
@@ -215,29 +253,32 @@
 
     def _accept(self) -> None:
         while True:
+            self._room.acquire()
             try:
                 sock, _ = self._sock.accept()
             except OSError as trouble:
+                self._room.release()
                 if self._sock.fileno() < 0:
                     return
                 # Out of descriptors or aborted by the peer: neither may end the accepting for good.
                 log.warning("accept: %s", trouble)
                 time.sleep(0.02)
                 continue
-            if not self._room():
-                sock.close()
-                continue
             try:
                 link = Link(sock, self._inbox, None)
             except OSError:
                 sock.close()  # gone already
+                self._room.release()
                 continue
+            link.freed = self._room.release
+            link.whole_ms, link.first_ms, link.outbox_most = WHOLE_MS, FIRST_MS, CALLER_OUTBOX_MOST
             self._inbox.put(Opened(link))
             try:
                 link.start()
             except RuntimeError as trouble:
                 log.warning("no thread for a caller's connection: %s", trouble)
                 sock.close()
+                self._room.release()
                 self._inbox.put(Closed(link))
 
 
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -32,6 +32,7 @@
     GroupState,
     Message,
     Note,
+    Progress,
     Reason,
     Release,
     ReleaseHeard,
@@ -62,9 +63,15 @@
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
 STOP_AFTER = 400 * MS  # and the kill no sooner than the longest deadline, or this much of it, and 0.7 s:
 STOP_MOST = 3 * SECOND  # what is open after deadline and STOP_AFTER is answered first
+OPEN_PER_MB = 30  # calls that may wait at once, by the memory there is: each may hold 16 KiB
 UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
 TURN_MOST = 1000  # messages dealt with in one turn
-CALLER_SHARE = 0.5  # of the descriptors; callers hold a third at most, this guards the rest
+CALLER_SHARE = 0.45  # of the descriptors; callers hold a third at most, this guards the rest
+SPARE = 16  # connections of callers above that, accepted while room is made
+UNUSED = 6 * SECOND  # a caller's connection without a call is closed then; callers do it after 4 s themselves
+REMEMBERED_MOST = 20000  # ended calls
+INHERITED = 30 * SECOND  # after the start: later, calls of a former life are over
+INHERITED_MOST = 2000
 
 SERVER_OUTCOMES = {
     Reason.FULL: Outcome.FULL,
@@ -99,6 +106,7 @@
         limits = conf["limits"]
         classes = conf["classes"]
         widths = conf.get("family_info", {}).get("widths") or [1] * len(classes)
+        memory_mb = int(raw.get("limits", {}).get("memory_mb") or 192)
         links.address(str(raw["bulletin"]))  # one that cannot be called is no configuration
         return cls(
             name=str(raw["name"]),
@@ -111,7 +119,7 @@
             classes={str(item["name"]): place for place, item in enumerate(classes)},
             longest=tuple(int(item.get("give_up_ns") or LONGEST * NS) // NS for item in classes),
             widths=tuple(int(widths[place]) for place in range(len(classes))),
-            max_open=int(limits.get("max_open") or 20000),
+            max_open=min(int(limits.get("max_open") or 20000), memory_mb * OPEN_PER_MB),
             dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
         )
 
@@ -167,7 +175,7 @@
 
     def __init__(self, config: Config, now: int) -> None:
         self.config = config
-        self.now = now
+        self.now = self.started_at = now
         self.inbox: links.Inbox = SimpleQueue()
         self.timers: list[tuple[int, int, Callable[[], None]]] = []
         self.order = itertools.count()
@@ -175,6 +183,7 @@
         self.open: dict[int, Call] = {}  # by the id in messages: no final answer yet
         self.numbers: dict[int, Call] = {}  # the same by the controller's id
         self.standing: dict[int, Attempt] = {}  # by the id in messages
+        self.callers_most = int(config.sockets * CALLER_SHARE)
         self.callers: dict[Link, None] = {}  # connections that were accepted, oldest first
         self.speakers: dict[
             Link, None
@@ -192,8 +201,8 @@
 
     def __init__(self, floor: Floor) -> None:
         self.floor = floor
-        self.ended: OrderedDict[int, int] = OrderedDict()  # id -> when
-        self.unsent: list[Release] = []  # no caller's connection was open
+        self.ended: OrderedDict[int, tuple[int, bool]] = OrderedDict()  # id -> when, and whether answered
+        self.unsent: deque[Release] = deque(maxlen=UNHEARD_MOST)  # no caller's connection was open
 
     def final(self, call: Call, message: Answer | Release, kind: str) -> bool:
         """The final answer; False if the call has had it."""
@@ -202,7 +211,9 @@
         self.floor.numbers.pop(call.number, None)
         call.caller.calls.pop(call.wire, None)
         self.floor.counts[f"answered_{kind}"] += 1
-        if not isinstance(message, Answer):
+        if isinstance(message, Answer):
+            call.caller.had_call = True
+        else:
             self.remember(call.wire)
         if not call.caller.send(message):
             self.floor.counts["answers_undeliverable"] += 1
@@ -214,15 +225,21 @@
             self.floor.numbers.pop(call.number, None)
             call.caller.calls.pop(call.wire, None)
             self.floor.counts["callers_left"] += 1
-            self.remember(call.wire)
+            self.remember(call.wire, answered=False)  # it may come again, if its connection was closed
 
     def released(self, release: Release, caller: Link | None) -> None:
         """Release a call that stood, on its own connection or any other from callers."""
         self.remember(release.call)
-        for link in (*([caller] if caller else []), *reversed(self.floor.speakers)):
+        # On a stranger's connection a release may never be heard: those that had a call come first.
+        others = [*reversed(self.floor.speakers)]
+        others.sort(key=lambda link: not link.had_call)
+        for link in (*([caller] if caller else []), *others):
+            if link.leaving:
+                continue
             if not link.closed and link.send(release):
                 # Written is not heard: the caller may be closing this connection just now.
                 link.unheard[release.call] = release
+                link.heard_at = self.floor.now  # it is in use
                 if len(link.unheard) > UNHEARD_MOST:
                     del link.unheard[next(iter(link.unheard))]
                 self.floor.counts["releases_sent"] += 1
@@ -234,9 +251,8 @@
         if link in self.floor.speakers:
             return
         self.floor.speakers[link] = None
-        waiting, self.unsent = self.unsent, []
-        for release in waiting:
-            self.released(release, link)
+        for _ in range(len(self.unsent)):
+            self.released(self.unsent.popleft(), link)
 
     def closed(self, link: Link) -> None:
         """What a connection has not confirmed before its end goes out on another."""
@@ -245,12 +261,27 @@
             self.floor.counts["releases_sent_again"] += 1
             self.released(release, None)
 
-    def remember(self, wire: int) -> None:
+    def remember(self, wire: int, answered: bool = True) -> None:
         now = self.floor.now
-        self.ended[wire] = now
-        while self.ended and next(iter(self.ended.values())) < now - REMEMBERED:
+        self.ended[wire] = (now, answered)
+        self.ended.move_to_end(wire)
+        while len(self.ended) > REMEMBERED_MOST or next(iter(self.ended.values()))[0] < now - REMEMBERED:
             self.ended.popitem(last=False)
 
+    def answered(self, wire: int) -> bool:
+        return self.ended.get(wire, (0, False))[1]
+
+    def inherited(self) -> bool:
+        """Whether a release of an unknown call may be about one of this softswitch's life before its restart.
+
+        Only for a while and so many: a caller that releases what it never set up must not reach the servers.
+        """
+        floor = self.floor
+        if floor.now - floor.started_at > INHERITED or floor.counts["releases_inherited"] >= INHERITED_MOST:
+            return False
+        floor.counts["releases_inherited"] += 1
+        return True
+
 
 class Route:
     """The bridge to the controller: microseconds and messages here, its events and actions there.
@@ -554,9 +585,8 @@
         if attempt is None:
             if message.call in self.book.ended or message.call in self.floor.open:
                 self.floor.counts["strays"] += 1  # a server repeats its own
-            else:
+            elif self.book.inherited():
                 # A call of this softswitch's life before its restart: it stands at its caller still.
-                self.floor.counts["releases_inherited"] += 1
                 self.book.released(Release(message.call, message.reason), None)
             return
         self.send.drop(attempt)
@@ -576,10 +606,9 @@
         """The caller releases a call that stands."""
         attempt = self.floor.standing.get(message.call)
         if attempt is None:
-            if message.call not in self.book.ended:
+            if message.call not in self.book.ended and self.book.inherited():
                 # A call of this softswitch's life before its restart: whichever server has it will know.
                 self.book.remember(message.call)
-                self.floor.counts["releases_inherited"] += 1
                 for server in self.floor.servers.values():
                     if server.link is not None:
                         server.link.send(Release(message.call, message.reason))
@@ -650,25 +679,77 @@
     def set_up(self, link: Link, message: SetUp) -> None:
         floor = self.floor
         floor.counts["taken_in"] += 1
-        klass = floor.config.classes.get(message.klass)
-        if message.call in floor.open:
+        call = floor.open.get(message.call)
+        if call is not None and call.caller is not link and call.set_up == message:
             # Sent again because a connection closed under it: the answer goes where the caller is now.
-            call = floor.open[message.call]
             call.caller.calls.pop(call.wire, None)
             call.caller = link
             link.calls[call.wire] = call
             floor.counts["set_ups_repeated"] += 1
             return
-        if klass is None or message.wait_ms <= 0:
-            floor.counts["answered_malformed"] += 1
-            link.send(Release(message.call, Reason.MALFORMED))
-            return
+        klass = floor.config.classes.get(message.klass)
+        trouble = self.trouble(message, klass)
+        if trouble or klass is None:
+            return self.reject(link, message, trouble)
         deadline = floor.now + max(message.wait_ms * MS - MARGIN, MS)
         call = Call(next(self.serial), message.call, message, klass, link, deadline)
         floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
         floor.at(deadline + MARGIN // 2, lambda: self.overdue(call))
         self.admit.call(call)
 
+    def trouble(self, message: SetUp, klass: int | None) -> str:
+        """What is wrong with a set-up. What no setup server could use must reach none: it would be answered
+        with an error or, where it cannot be read, by closing the connection that all others share."""
+        floor, config = self.floor, self.floor.config
+        if not message.call:
+            return "no id"
+        if message.call in floor.open or message.call in floor.standing or self.book.answered(message.call):
+            return "an id that is taken"  # another's call must not be answered here, nor this one's twice
+        if klass is None:
+            return "an unknown class"
+        if not 0 < message.wait_ms * MS <= config.longest[klass]:
+            return "a wait out of range"
+        if not message.number or not message.description:
+            return "no number or no description"
+        allowed = config.settings.classes[klass].allowed
+        if message.first_choice != -1 and allowed is not None and message.first_choice not in allowed:
+            return "a first choice that the class may not use"
+        if not 0 < message.width <= config.widths[klass]:
+            return "a width out of range"
+        return ""
+
+    def reject(self, link: Link, message: SetUp, trouble: str) -> None:
+        """Answer what makes no sense, and end the connection unless others' calls wait on it.
+
+        A caller that sends two set-ups under one id would get two answers to it: its connection ends at once.
+        """
+        log.info("a set-up with %s", trouble)
+        self.floor.counts["answered_malformed"] += 1
+        if message.call in link.calls:
+            self.drop(link)
+            return
+        link.send(Release(message.call, Reason.MALFORMED))
+        if not link.calls:
+            link.leaving = True
+            link.finish()
+
+    def drop(self, link: Link) -> None:
+        """Close a caller's connection from this side: what comes on it from now on is not taken in."""
+        link.leaving = True
+        link.close()
+
+    def make_room(self) -> None:
+        """Before callers' connections run out, close some that no call waits on, the longest unused first.
+
+        Silent ones must not keep the others out. A set-up that crosses such a close is sent again.
+        """
+        floor = self.floor
+        spare = [link for link in floor.callers if not link.calls and not link.leaving]
+        spare.sort(key=lambda link: (link in floor.speakers, link.heard_at))
+        for link in spare[: len(floor.callers) - floor.callers_most]:
+            floor.counts["callers_closed_for_room"] += 1
+            self.drop(link)
+
     def overdue(self, call: Call) -> None:
         """The host's own guard: whatever the controller does, a call has its answer in time."""
         if call.wire in self.floor.open and self.floor.open[call.wire] is call:
@@ -682,9 +763,9 @@
     def release(self, link: Link, message: Release) -> None:
         link.send(ReleaseHeard(message.call))
         call = self.floor.open.get(message.call)
-        if call is not None:
+        if call is not None and call.caller is link:
             return self.left(call)
-        if not self.relay.hung_up(message):
+        if call is not None or not self.relay.hung_up(message):
             self.floor.counts["strays"] += 1
 
     def left(self, call: Call) -> None:
@@ -732,8 +813,7 @@
             api.Message: lambda action: None,  # softswitches share nothing
             api.FollowList: lambda action: None,  # the bulletin client follows it anyhow
         }
-        most = int(config.sockets * CALLER_SHARE)
-        self.listener = links.Listener(config.listen, floor.inbox, lambda: len(floor.callers) < most)
+        self.listener = links.Listener(config.listen, floor.inbox, floor.callers_most + SPARE)
         self.bulletin: bulletin.Client | None = None
         self.stop_asked = False
         self.reload_asked = False
@@ -744,6 +824,7 @@
         floor = self.floor
         self.route.tell(api.Started())
         self.send.watch()
+        self.tidy()
         after, events = bulletin.read_events(floor.config.known)
         for event in events:
             self.list(event)
@@ -806,6 +887,16 @@
             old.bulletin = config.bulletin
             self.bulletin.move(config.bulletin)
 
+    def tidy(self) -> None:
+        """Close callers' connections that have had no call for long: some ask once and stay for ever."""
+        floor = self.floor
+        floor.at(floor.now + SECOND, self.tidy)
+        busy = {attempt.call.caller for attempt in floor.standing.values()}
+        for link in floor.callers.keys() - busy:
+            if not link.calls and not link.leaving and floor.now - link.heard_at > UNUSED:
+                floor.counts["callers_closed_unused"] += 1
+                self.take_in.drop(link)
+
     def guard(self, do: Callable[[], None]) -> None:
         """An error of our own costs the one message or timer, never the calls of everybody else."""
         try:
@@ -826,7 +917,10 @@
             case Opened(link=link) if isinstance(link.owner, Server):
                 self.send.opened(link, link.owner)
             case Opened(link=link):
+                link.heard_at = self.floor.now
                 self.floor.callers[link] = None
+                if len(self.floor.callers) > self.floor.callers_most:
+                    self.take_in.make_room()
             case Closed(link=link, malformed=malformed):
                 link.closed = True
                 self.floor.counts["malformed"] += malformed
@@ -840,6 +934,8 @@
                 self.list(item)
 
     def from_caller(self, link: Link, message: Message) -> None:
+        if link.leaving:
+            return
         match message:
             case SetUp():
                 self.book.spoke(link)
@@ -851,6 +947,11 @@
                 self.take_in.test(link, message)
             case ReleaseHeard():
                 link.unheard.pop(message.call, None)
+            case Progress():
+                pass
+            case _:
+                self.floor.counts["malformed"] += 1  # a caller that talks like a server
+                self.take_in.drop(link)
 
     def from_server(self, server: Server, link: Link, message: Message) -> None:
         match message:
@@ -862,6 +963,9 @@
                 if not self.send.probed(number, figures) and figures:
                     report = self.route.report(figures)
                     self.route.tell(api.ProbeAnswered(server.host, True, 0, report))
+            case SetUp() | Test():
+                self.floor.counts["malformed"] += 1  # a server that talks like a caller
+                link.close()
 
     def list(self, roster: bulletin.Roster) -> None:
         """A change of the list of setup servers."""
