Replace a dumb connection within half an aim, and blame no server for one reset or error

Checked with a trace of the control loop. After an answer that never came the connection stayed open and swallowed all that followed: nine set-ups were out for 2.1 s (SILENT in Send.watch, looked at every 0.5 s), the controller read them as a jam (share from 1.00 to 0.33) and marked the server four times; the other server had room for eight calls a second only. Ruled out: a slow server (its other answers took 13 ms) and lost single answers, which Controller._overtaken calls off at once.

Send.watch now looks every 50 ms: with set-ups out and nothing heard for half the shortest aim a connection gets another beside it; after the whole aim, once the new one has spoken, what is out on the dumb one has timed out. A reset of set-ups that wait and an error no longer mark the server unless five come with no call that stands. Room for callers' connections was made too eagerly: those already closing were counted.

--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -319,6 +319,7 @@
     server = host.brain.servers["s0"]
     for number in range(1, 6):
         assert server.mark_until == 0
+        host.now += MS  # what comes at once has one cause
         host.call(number)
         (other,) = sent_to(host.ended(number, "s0", api.Outcome.ERROR))  # one may be chance: another attempt
         assert isinstance(host.ended(number, other, api.Outcome.ERROR, attempt=1)[-1], api.Fail)
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -248,7 +248,7 @@
 def test_silence_ends_in_one_answer_before_the_caller_gives_up(one: One) -> None:
     town, _, trunk, caller = one
     at = time.monotonic()
-    call = town.call(caller, wait_ms=600)
+    call = town.call(caller, wait_ms=400)
     trunk.hear(SetUp, call)
     assert caller.hear(Release, call).reason is Reason.FAILED
     assert time.monotonic() - at < 5
@@ -730,6 +730,17 @@
     assert trunk.ends()
 
 
+def test_a_connection_that_went_dumb_is_replaced_before_its_calls_are_late(one: One) -> None:
+    town, server, trunk, caller = one
+    stands(town, trunk, caller)
+    call = town.call(caller)  # swallowed; nothing is reset, and the machine is well
+    trunk.hear(SetUp, call)
+    again = server.accept()
+    assert caller.hear(Release, call).reason is Reason.CONGESTED  # in time, and not failed at its deadline
+    assert trunk.ends()
+    again.sock.close()
+
+
 def test_a_hang_up_of_a_former_life_reaches_the_servers_once(one: One) -> None:
     town, _, trunk, caller = one
     stands(town, trunk, caller)
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -35,7 +35,7 @@
 LOSSY = 0.1  # above this part lost, a set-up out for long is called off early
 MARK = SECOND // 5  # skip mark after one 'processor full' or time-out
 MARK_MOST = 3 * SECOND  # longest mark of a server that keeps failing
-ERRORS = 5  # errors with no call that stands between them, before a server is held to have failed
+ODD_MOST = 5  # errors and broken connections, with no call that stands between, that make a failure
 SUSPECT = 2  # failures in a row after which a server gets one trial at a time
 QUIET = SECOND  # evidence older than this says nothing about now
 WINDOW_START = 2.0  # set-ups out at one server before anything is known of it
@@ -69,7 +69,8 @@
     base: float = 0.0  # shortest set-up time seen, slowly forgotten
     mark_until: int = 0
     fails: int = 0  # in a row
-    errors: int = 0  # since a call last stood there
+    odd: int = 0  # errors and broken connections since a call last stood there
+    odd_at: int = 0
     alive_at: int = 0  # last sign of life
     credit: float = 0.0  # sends a cold server may be given now
     credit_at: int = 0
@@ -256,7 +257,7 @@
         server.base = min(server.base * BASE_DRIFT, event.took) if server.base else event.took
         if server.fails >= SUSPECT and server.heard_at > server.alive_at:
             server.cold_since = max(server.cold_since, self.now)  # silent till now: restarted, perhaps
-        server.fails, server.errors, server.alive_at = 0, 0, self.now
+        server.fails, server.odd, server.alive_at = 0, 0, self.now
         target = self._target_time(server)
         self._witness(server, event.took / target)
         # The window opens while set-ups come back within the time aimed at, else it closes.
@@ -303,11 +304,15 @@
         failed |= event.outcome is Outcome.TIMEOUT and not overtaken
         if event.outcome in (Outcome.FULL, Outcome.ENDED, Outcome.ERROR):
             server.alive_at = self.now
-        # An error is the call's as a rule: its caller has sent what no server can use. Errors alone, with no
-        # call that stands between them, are the server's.
-        server.errors += event.outcome is Outcome.ERROR and not event.callee_busy
-        if failed or (event.outcome is Outcome.ERROR and server.errors >= ERRORS):
-            self._failed(server, loaded=event.outcome is not Outcome.RESET or event.call_over)
+        # An error is the call's as a rule, whose caller has sent what no server can use; a reset is the
+        # connection's, with all that was out on it. Again and again with no call that stands: the server's.
+        odd = event.outcome is Outcome.RESET and not event.call_over
+        if odd or (event.outcome is Outcome.ERROR and not event.callee_busy):
+            server.odd += server.odd_at != self.now  # what comes at once has one cause
+            server.odd_at = self.now
+            failed = server.odd >= ODD_MOST
+        if failed:
+            self._failed(server)
         self._report(server, event.report)
 
     def _report(self, server: Server, report: Mapping[str, float]) -> None:
@@ -422,13 +427,9 @@
     def _unmarked(self, server: Server) -> bool:
         return server.mark_until <= self.now and not (server.fails >= SUSPECT and server.out)
 
-    def _failed(self, server: Server, loaded: bool = True) -> None:
-        """Skip a server that failed, longer each time in a row; failures within a mark are the same one.
-
-        A connection that broke says nothing of the load; the cut of a call that stood does.
-        """
-        if loaded:
-            self._witness(server, FULL)
+    def _failed(self, server: Server) -> None:
+        """Skip a server that failed, longer each time in a row; failures within a mark are the same one."""
+        self._witness(server, FULL)
         if server.mark_until <= self.now:
             server.fails += 1
             server.window = max(WINDOW_LEAST, server.window / 2)
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -85,6 +85,7 @@
         self.leaving = False  # the loop's: told to close; what still comes is not taken in
         self.inbox = inbox
         self.heard_at = 0  # the loop's: when the last message was dealt with
+        self.spoke = False  # the loop's: whether there was one
         self.closed = False  # the loop's word for it; the threads notice by their socket
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
         self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -56,7 +56,7 @@
 SILENT = 2 * SECOND  # a connection that has brought nothing for so long is doubted
 VANISHED = 4 * SECOND  # and after so long its machine is given up, if no new connection comes up either
 DEAD = 2  # connects refused in a row, after a reset, that mean a dead process
-WATCH = 500 * MS  # how often that is looked at
+WATCH = 50 * MS  # how often that is looked at
 REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
 LINKS_MOST = 4  # connections to one server
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
@@ -183,6 +183,8 @@
         self.open: dict[int, Call] = {}  # by the id in messages: no final answer yet
         self.numbers: dict[int, Call] = {}  # the same by the controller's id
         self.standing: dict[int, Attempt] = {}  # by the id in messages
+        # A server's connection is judged by the time in which a call is wanted.
+        self.wanted = min(item.aim for item in config.settings.classes) // NS
         self.callers_most = int(config.sockets * CALLER_SHARE)
         self.callers: dict[Link, None] = {}  # connections that were accepted, oldest first
         self.speakers: dict[
@@ -440,7 +442,7 @@
         """Close replaced connections with nothing out on them, and the oldest where there are several."""
         busy = {a.link for a in server.attempts.values() if not a.stands}
         while server.retiring and (len(server.retiring) >= LINKS_MOST - 1 or server.retiring[0] not in busy):
-            server.retiring.pop(0).close()  # what was out on it is given up when its end is heard
+            server.retiring.pop(0).finish()  # what was out on it is given up when its end is heard
 
     def failed(self, failure: DialFailed) -> None:
         server: Server = failure.owner
@@ -498,11 +500,37 @@
         self.connect(server)
 
     def watch(self) -> None:
-        """Doubt a connection that is silent while calls are there: a new one beside it shows who is alive."""
-        self.floor.at(self.floor.now + WATCH, self.watch)
-        for server in self.floor.servers.values():
-            if server.link and server.attempts and self.floor.now - server.link.heard_at > SILENT:
-                self.connect(server, beside=True)
+        """Doubt a connection that is silent while calls are there: a new one beside it shows who is alive.
+
+        A connection may go dumb while its server is well, and swallow whatever is sent there. With set-ups
+        out it is doubted after half the shortest time in which a call is wanted; after the whole, and once
+        the new one has brought something, what is out on the dumb one has timed out.
+        """
+        now = self.floor.now
+        self.floor.at(now + WATCH, self.watch)
+        for server in [*self.floor.servers.values()]:
+            since: dict[Link | None, int] = {}  # when the oldest of what is out on each was sent
+            for attempt in server.attempts.values():
+                if not attempt.stands:
+                    since[attempt.link] = min(since.get(attempt.link, now), attempt.sent_at)
+            for link in [*server.retiring]:
+                quiet = now - max(link.heard_at, since.get(link, now))
+                if quiet > self.floor.wanted and server.link and server.link.spoke:
+                    self.floor.counts["links_dumb"] += 1
+                    self.time_out(server, link)
+            if server.link is not None and server.attempts:
+                quiet = now - max(server.link.heard_at, since.get(server.link, now))
+                if quiet > self.floor.wanted // 2 or now - server.link.heard_at > SILENT:
+                    self.connect(server, beside=True)
+
+    def time_out(self, server: Server, link: Link) -> None:
+        """Close a connection on which no answer will come any more."""
+        if link in server.retiring:
+            server.retiring.remove(link)
+        link.close()
+        for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
+            self.drop(attempt)
+            self.route.ended(attempt, Outcome.TIMEOUT, over=attempt.call.wire not in self.floor.open)
 
     def abandon(self, server: Server, before: int, why: str) -> None:
         """The process that served until then is gone, its connections with it.
@@ -745,9 +773,10 @@
         Silent ones must not keep the others out. A set-up that crosses such a close is sent again.
         """
         floor = self.floor
-        spare = [link for link in floor.callers if not link.calls and not link.leaving]
+        stay = [link for link in floor.callers if not link.leaving]
+        spare = [link for link in stay if not link.calls]
         spare.sort(key=lambda link: (link in floor.speakers, link.heard_at))
-        for link in spare[: len(floor.callers) - floor.callers_most]:
+        for link in spare[: max(len(stay) - floor.callers_most, 0)]:
             floor.counts["callers_closed_for_room"] += 1
             self.drop(link)
 
@@ -910,7 +939,7 @@
         match item:
             case Came(link=link, message=message):
                 link.taken()
-                link.heard_at = self.floor.now
+                link.heard_at, link.spoke = self.floor.now, True
                 if isinstance(link.owner, Server):
                     self.from_server(link.owner, link, message)
                 else:
