Wait after a refused second connection: a draining server was dialled at every look

Cause of the dials: Send.watch looks every 50 ms since the last change but one, and Send.failed leaves an open connection alone without a pause, so that a draining server, which takes no newcomers, was dialled at every look. Now the next try waits 250 ms. The story for it fails without the change.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -741,6 +741,24 @@
     again.sock.close()
 
 
+def test_a_server_that_takes_no_newcomers_is_not_dialled_at_every_look(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, _, trunk, caller = one
+    dials: list[Any] = []
+
+    def dial(where: str, timeout: int, inbox: Any, owner: Any) -> None:
+        dials.append(owner)
+        inbox.put(links.DialFailed(owner, True))
+
+    monkeypatch.setattr(links, "dial", dial)
+    at = time.monotonic()
+    call = town.call(caller, wait_ms=1500)
+    trunk.hear(SetUp, call)
+    caller.hear(Release, call)
+    assert 1 <= len(dials) <= (time.monotonic() - at) / 0.25 + 1
+
+
 def test_a_hang_up_of_a_former_life_reaches_the_servers_once(one: One) -> None:
     town, _, trunk, caller = one
     stands(town, trunk, caller)
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -140,6 +140,7 @@
     refusals: int = 0  # connects refused since
     redial_after: int = REDIAL_FIRST
     redial_pending: bool = False
+    beside_after: int = 0  # no second connection is tried before that
     retiring: list[Link] = field(default_factory=list)  # silent ones, until what is out on them is over
     waiting: list[Attempt] = field(default_factory=list)  # for a connection
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: out, or standing
@@ -450,6 +451,7 @@
         self.floor.counts["dials_refused" if failure.refused else "dials_failed"] += 1
         self.stranded(server)
         if server.link is not None:
+            server.beside_after = self.floor.now + REDIAL_FIRST  # a draining server refuses each of them
             # It was to stand beside one that is still there. Refused, it says that the machine lives, and the
             # open one that its process does: a draining server takes no newcomers and serves what it has.
             if not failure.refused and self.floor.now - server.link.heard_at > VANISHED:
@@ -520,7 +522,8 @@
                     self.time_out(server, link)
             if server.link is not None and server.attempts:
                 quiet = now - max(server.link.heard_at, since.get(server.link, now))
-                if quiet > self.floor.wanted // 2 or now - server.link.heard_at > SILENT:
+                doubted = quiet > self.floor.wanted // 2 or now - server.link.heard_at > SILENT
+                if doubted and now >= server.beside_after:
                     self.connect(server, beside=True)
 
     def time_out(self, server: Server, link: Link) -> None:
