--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import signal
 import socket
@@ -793,3 +794,23 @@
     wait_for(lambda: town.switch is not None and town.switch.floor.counts["strays"] == 1)
     trunk.say(Answer(call, b"fresh"))
     assert caller.hear(Answer, call).description == b"fresh"
+
+
+def test_what_was_refused_at_once_leaves_no_timer_and_no_call_behind(town: Town) -> None:
+    town.open()  # no server yet: each is refused
+    caller = town.caller()
+    for _ in range(50):
+        caller.hear(Release, town.call(caller))
+    assert town.switch is not None
+    assert len(town.switch.floor.timers) < 10
+
+
+def test_the_timer_of_an_attempt_does_not_hold_its_call(one: One) -> None:
+    town, _, trunk, caller = one
+    town.serial = 0xB0000  # of no other story
+    call = stands(town, trunk, caller)
+    trunk.say(Release(call, Reason.CLEARED))
+    caller.hear(Release, call)
+    stands(town, trunk, caller)  # the loop has done with the first
+    gc.collect()
+    assert call not in [it.wire for it in gc.get_objects() if isinstance(it, module.Call)]
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -141,8 +141,9 @@
         klass = self.settings.classes[event.klass]
         call = self.calls[event.call] = Call(event, klass, self.now + klass.aim, self.now + event.patience)
         self.arrivals += not event.repeat
-        self.out.append(api.Wake(event.call + 1, call.deadline))
         self._place(call)
+        if event.call in self.calls:  # a call refused at once leaves no timer behind
+            self.out.insert(0, api.Wake(event.call + 1, call.deadline))
 
     def _choices(self, call: Call) -> list[Server]:
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -365,7 +365,9 @@
         ):
             return self.route.ended(attempt, Outcome.MOOT, over=False)
         call.attempt = server.attempts[call.wire] = attempt
-        self.floor.at(attempt.limit_at, lambda: self.expire(attempt))
+        # By number, like every timer of a call: one that held the call would keep its description, of up to
+        # 16 KiB, until the deadline, long after a refusal.
+        self.floor.at(attempt.limit_at, partial(self.expire, call.number, attempt.index))
         self._write(attempt)
 
     def _write(self, attempt: Attempt) -> None:
@@ -406,16 +408,22 @@
         self.drop(attempt)
         self.route.ended(attempt, outcome, over=attempt.call.wire not in self.floor.open)
 
-    def expire(self, attempt: Attempt) -> None:
-        if attempt.call.attempt is attempt and not attempt.stands:
+    def expire(self, number: int, index: int) -> None:
+        attempt = self._out(number, index)
+        if attempt is not None:
             self.give_up(attempt, Outcome.TIMEOUT)
 
     def cancel(self, action: api.Cancel) -> None:
-        call = self.floor.numbers.get(action.call)
-        attempt = call.attempt if call else None
-        if attempt is not None and attempt.index == action.attempt and not attempt.stands:
+        attempt = self._out(action.call, action.attempt)
+        if attempt is not None:
             self.give_up(attempt, Outcome.CANCELLED)
 
+    def _out(self, number: int, index: int) -> Attempt | None:
+        """This attempt of an open call, if it is still out."""
+        call = self.floor.numbers.get(number)
+        attempt = call.attempt if call else None
+        return attempt if attempt is not None and attempt.index == index and not attempt.stands else None
+
     # Connections to servers.
 
     def connect(self, server: Server, beside: bool = False) -> None:
@@ -725,8 +733,12 @@
         deadline = floor.now + max(message.wait_ms * MS - MARGIN, MS)
         call = Call(next(self.serial), message.call, message, klass, link, deadline)
         floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
-        floor.at(deadline + MARGIN // 2, lambda: self.overdue(call))
-        self.admit.call(call)
+        try:
+            self.admit.call(call)
+        finally:
+            # Only for what is still open: thousands that were refused at once must not leave a timer each.
+            if call.number in floor.numbers:
+                floor.at(deadline + MARGIN // 2, partial(self.overdue, call.number))
 
     def trouble(self, message: SetUp, klass: int | None) -> str:
         """What is wrong with a set-up. What no setup server could use must reach none: it would be answered
@@ -783,9 +795,10 @@
             floor.counts["callers_closed_for_room"] += 1
             self.drop(link)
 
-    def overdue(self, call: Call) -> None:
+    def overdue(self, number: int) -> None:
         """The host's own guard: whatever the controller does, a call has its answer in time."""
-        if call.wire in self.floor.open and self.floor.open[call.wire] is call:
+        call = self.floor.numbers.get(number)
+        if call is not None:
             self.floor.counts["overdue"] += 1
             attempt = call.attempt
             self.book.final(call, Release(call.wire, Reason.FAILED), "failed")
@@ -866,8 +879,8 @@
         self.listener.start()
         while not self._finished():
             self.turn()
-        for call in list(floor.open.values()):
-            self.take_in.overdue(call)  # better a failure now than silence at the kill
+        for number in list(floor.numbers):
+            self.take_in.overdue(number)  # better a failure now than silence at the kill
         self.listener.close()
         self._flush()
         self.print_counts()
