Pass over what the bulletin spoils: one unreadable line hid every later drain for ever

Seen on reading: `bulletin.read_events` raised on the first line it could not read (an unknown state, a missing field), and the client asked for the same event again every 0.1 s, for ever; no later event, a server that drains among them, was ever heard. `Client._follow` caught OSError and BadAnswer only: a port out of range in a reloaded configuration, or 1e999 as a number, raised OverflowError and ended the thread for good. The same in `links.dial`: its thread died without a word, `Server.dialing` stayed set, and that server was never dialled again.

Checked with stories over loopback, each of which fails without its change: events after a spoilt one arrive; of a whole list with a hole nobody counts as gone for not being on it; the thread outlives an error that nobody thought of; an address that is none is a failed dial, and a configuration that names one is not taken over.

Two more from the same reading: - `Admit.call` refused without parameter 70 when the softswitch itself is full or stops; it now says the longest time that callers heed, where the settings allow that. - A caller's connection that was told to go and reads nothing kept its place, its two threads and its descriptor for ever (`tidy` and `make_room` passed over those that leave). It is closed after a second.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -7,6 +7,7 @@
 
 import gc
 import json
+import math
 import signal
 import socket
 import subprocess
@@ -16,7 +17,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
-from queue import Empty, Queue
+from queue import Empty, Queue, SimpleQueue
 from typing import Any
 
 import pytest
@@ -32,6 +33,7 @@
     SetUp,
     Test,
     TestResult,
+    bulletin,
     codec,
     links,
 )
@@ -390,7 +392,8 @@
     call, whole = town.call(caller), town.text
     trunk.hear(SetUp, call)
     counts = town.switch.floor.counts
-    for text in (broken, whole.replace(town.bulletin.dial, "nowhere")):
+    away = [whole.replace(town.bulletin.dial, dial) for dial in ("nowhere", "127.0.0.1:99999")]
+    for text in (broken, *away):
         before, town.text = counts["reloads_failed"], text
         town.switch.reload_asked = True
         while counts["reloads_failed"] == before:
@@ -814,3 +817,73 @@
     stands(town, trunk, caller)  # the loop has done with the first
     gc.collect()
     assert call not in [it.wire for it in gc.get_objects() if isinstance(it, module.Call)]
+
+
+def test_a_softswitch_that_is_full_says_when_to_come_back(town: Town) -> None:
+    server = Server()
+    town.open(line(server, "s-1"), max_open=1)
+    server.accept()
+    caller = town.caller()
+    town.call(caller)
+    assert caller.hear(Release, town.call(caller)).stay_away_ms == 1000
+
+
+def test_a_caller_that_was_told_to_go_and_reads_nothing_loses_its_place(one: One) -> None:
+    town = one[0]
+    deaf = town.caller()
+    assert town.switch is not None
+    callers = town.switch.floor.callers
+    wait_for(lambda: len(callers) == 2)
+    link = list(callers)[-1]
+    link.outbox_most = 10**9
+    for _ in range(1000):
+        link.send(Answer(1, b"x" * 16000))
+    link.leaving = True
+    link.finish()
+    wait_for(lambda: len(callers) == 1)
+    deaf.sock.close()
+
+
+def test_what_the_bulletin_spoils_hides_nothing_else(one: One) -> None:
+    town, server, _, _ = one
+    newcomer = Server()
+    town.bulletin.tell({"host": "s-7"}, line(server, "s-8", health="Unwell"), line(newcomer, "s-2", 1))
+    newcomer.accept()
+    assert town.switch is not None
+    assert set(town.switch.floor.servers) == {"s-1", "s-2"}
+
+
+@pytest.mark.parametrize(
+    "item",
+    [None, {"no": 4, "roster": {}}, *({"no": no, "roster": {"hosts": []}} for no in ("x", math.inf))],
+    ids=str,
+)
+def test_an_event_that_cannot_be_read_is_passed_over(item: Any) -> None:
+    good = {"no": 5, "roster": {"whole": True, "hosts": [line_of("s-1"), {"host": "s-2"}]}}
+    last, (event,) = bulletin.read_events({"no": 5, "items": [item, good]})
+    assert (last, event.number, event.whole) == (5, 5, False)  # whole but for one: the other is not gone
+    assert [listed.host for listed in event.hosts] == ["s-1"]
+
+
+def line_of(host: str) -> dict[str, Any]:
+    return {"host": host, "dial": "127.0.0.1:9", "block": 0, "health": "Ready"}
+
+
+def test_the_bulletins_thread_outlives_whatever_comes() -> None:
+    called: Queue[int] = Queue()
+
+    class Odd(bulletin.Client):
+        def once(self) -> None:
+            called.put(1)
+            if called.qsize() == 3:
+                threading.Event().wait()  # enough
+            raise OverflowError
+
+    Odd("127.0.0.1:9", 0, print).start()
+    wait_for(lambda: called.qsize() == 3)
+
+
+def test_an_address_that_is_none_fails_like_any_other() -> None:
+    inbox: links.Inbox = SimpleQueue()
+    links.dial("127.0.0.1:99999", 500_000, inbox, None)
+    assert inbox.get(timeout=PATIENCE) == links.DialFailed(None, False)
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -1,8 +1,8 @@
 """The bulletin client: a thread that follows the numbered changes of the list of setup servers.
 
 This file owns the HTTP/1.1 of the bulletin and the reading of its events. It must never judge a server or
-skip an event: what it has read goes to the loop in order, and a bulletin that is silent, slow or talks
-nonsense costs this thread only.
+skip an event that can be read: what it has read goes to the loop in order, and a bulletin that is silent,
+slow or talks nonsense costs this thread only, which must outlive it.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 STATES = {"Ready": ServerState.ACTIVE, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 
 
-class BadAnswer(Exception):
+class BadAnswer(ValueError):
     """What came from the bulletin cannot be read."""
 
 
@@ -54,19 +54,41 @@
     hosts: tuple[Listed, ...]
 
 
+UNREADABLE = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)  # 1e999 is JSON
+
+
 def read_events(answer: Any) -> tuple[int, list[Roster]]:
-    """The last number and the events of `known` or of an answer."""
+    """The last number and the events of `known` or of an answer.
+
+    An event or a line that cannot be read is passed over, loudly: asked for again it would come again, and
+    all that follows, a server that drains among it, would never be heard.
+    """
     try:
-        events = []
-        for item in answer["items"]:
+        last, items = int(answer["no"]), list(answer["items"])
+    except UNREADABLE as trouble:
+        raise BadAnswer(f"no list of events: {trouble!r}") from trouble
+    events = []
+    for item in items:
+        try:
             roster = item.get("roster")
-            if roster is None:
-                continue  # an event of another kind
-            hosts = tuple(_listed(line) for line in roster["hosts"])
-            events.append(Roster(int(item["no"]), bool(roster.get("whole")), hosts))
-        return int(answer["no"]), events
-    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
-        raise BadAnswer(f"an event cannot be read: {trouble!r}") from trouble
+            if roster is not None:  # else an event of another kind
+                hosts = _readable(roster["hosts"])
+                # Of a whole list with a hole in it, nobody is gone for not being on it.
+                whole = bool(roster.get("whole")) and len(hosts) == len(roster["hosts"])
+                events.append(Roster(int(item["no"]), whole, hosts))
+        except UNREADABLE as trouble:
+            log.error("an event is passed over: %r", trouble)
+    return last, events
+
+
+def _readable(lines: Any) -> tuple[Listed, ...]:
+    found = []
+    for line in lines:
+        try:
+            found.append(_listed(line))
+        except UNREADABLE as trouble:
+            log.error("a line of the list is passed over: %r in %r", trouble, line)
+    return tuple(found)
 
 
 def _listed(line: Any) -> Listed:
@@ -110,8 +132,8 @@
         while True:
             try:
                 self.once()
-            except (OSError, BadAnswer) as trouble:
-                log.warning("bulletin: %s", trouble)
+            except Exception as trouble:  # without this thread no drain would be heard of ever again
+                log.warning("bulletin: %r", trouble)
                 self._hang_up()
                 self._moved.wait(PAUSE_S)  # a new address is called at once
                 self._moved.clear()
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -39,6 +39,8 @@
 
 def address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
+    if not 0 <= int(port) <= 65535:  # connect() would raise what no OSError is
+        raise ValueError(f"port {port}")
     return host, int(port)
 
 
@@ -289,10 +291,10 @@
     def connect() -> None:
         try:
             sock = socket.create_connection(address(where), timeout=timeout_us / 1e6)
-        except (OSError, ValueError) as trouble:
+            link = Link(sock, inbox, owner)
+        except Exception as trouble:  # whatever it was, the loop must hear of it, or it waits for ever
             inbox.put(DialFailed(owner, isinstance(trouble, ConnectionRefusedError)))
             return
-        link = Link(sock, inbox, owner)
         inbox.put(Opened(link))
         link.run()
 
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -42,6 +42,7 @@
     bulletin,
     links,
 )
+from wickstep.net.bulletin import Roster
 from wickstep.net.links import Came, Closed, DialFailed, Link, Opened
 
 log = logging.getLogger(__name__)
@@ -91,7 +92,7 @@
     seed: int
     sockets: int
     bulletin: str
-    known: Any
+    known: tuple[int, list[Roster]]  # the number reached and the events up to it
     settings: api.Settings
     classes: dict[str, int]
     longest: tuple[int, ...]  # by class: how long a caller waits at most
@@ -114,7 +115,7 @@
             seed=int(str(raw["seed"]), 16),
             sockets=int(raw.get("limits", {}).get("sockets", 1024)),
             bulletin=str(raw["bulletin"]),
-            known=raw.get("known") or {"no": 0, "items": []},
+            known=bulletin.read_events(raw.get("known") or {"no": 0, "items": []}),
             settings=read_settings(conf),
             classes={str(item["name"]): place for place, item in enumerate(classes)},
             longest=tuple(int(item.get("give_up_ns") or LONGEST * NS) // NS for item in classes),
@@ -672,7 +673,11 @@
         floor = self.floor
         late = floor.stopping_at and floor.now > floor.stopping_at + NOTICE
         if late or len(floor.open) > floor.config.max_open:
-            self.book.final(call, Release(call.wire, Reason.CONGESTED), "turned_away")
+            # When to come back, where callers are told that: the same caller at once again helps nobody.
+            settings = floor.config.settings
+            away = settings.max_retry_after // (NS * MS) if settings.heeds_retry_after else 0
+            refusal = Release(call.wire, Reason.CONGESTED, stay_away_ms=away)
+            self.book.final(call, refusal, "turned_away")
             return
         self.route.tell(
             api.NewCall(
@@ -871,7 +876,7 @@
         self.route.tell(api.Started())
         self.send.watch()
         self.tidy()
-        after, events = bulletin.read_events(floor.config.known)
+        after, events = floor.config.known
         for event in events:
             self.list(event)
         self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put)
@@ -939,7 +944,9 @@
         floor.at(floor.now + SECOND, self.tidy)
         busy = {attempt.call.caller for attempt in floor.standing.values()}
         for link in floor.callers.keys() - busy:
-            if not link.calls and not link.leaving and floor.now - link.heard_at > UNUSED:
+            if link.leaving and floor.now - link.heard_at > SECOND:
+                link.close()  # its last answer is still unread: it would keep its place for ever
+            elif not link.calls and not link.leaving and floor.now - link.heard_at > UNUSED:
                 floor.counts["callers_closed_unused"] += 1
                 self.take_in.drop(link)
 
@@ -955,7 +962,9 @@
         match item:
             case Came(link=link, message=message):
                 link.taken()
-                link.heard_at, link.spoke = self.floor.now, True
+                link.spoke = True
+                if not link.leaving:
+                    link.heard_at = self.floor.now
                 if isinstance(link.owner, Server):
                     self.from_server(link.owner, link, message)
                 else:
@@ -976,7 +985,7 @@
                     self.take_in.closed(link)
             case DialFailed():
                 self.send.failed(item)
-            case bulletin.Roster():
+            case Roster():
                 self.list(item)
 
     def from_caller(self, link: Link, message: Message) -> None:
@@ -1013,7 +1022,7 @@
                 self.floor.counts["malformed"] += 1  # a server that talks like a caller
                 link.close()
 
-    def list(self, roster: bulletin.Roster) -> None:
+    def list(self, roster: Roster) -> None:
         """A change of the list of setup servers."""
         floor = self.floor
         entries = []
