Make room for callers in bulk, and not at the cost of those who have just come

Seen on reading: `TakeIn.make_room` closed connections that had not spoken before any that had.

Now those that stay and say nothing go first (silent for 0.5 s since they came, then unused for 4.2 s, when callers would have closed themselves), an eighth of the room at once; then, no more than must be, who has just come. A connection with something unread is spared: the set-up on it would be lost.

Checked: stories for both, failing without the change.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -545,6 +545,38 @@
     wait_for(lambda: town.switch is not None and len(town.switch.floor.callers) <= 4)
 
 
+def test_callers_that_asked_once_and_stay_do_not_shut_the_door_to_newcomers(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, _, trunk, _ = one
+    assert town.switch is not None
+    stayed = [town.caller() for _ in range(4)]
+    for caller in stayed:
+        stands(town, trunk, caller)
+    monkeypatch.setattr(module, "STAYED", 0)
+    town.switch.floor.callers_most = 4
+    newcomer, counts = town.caller(), town.switch.floor.counts
+    wait_for(lambda: counts["callers_closed_for_room"] > 0)
+    stands(town, trunk, newcomer)  # it had not spoken yet when room was made
+    assert stayed[0].ends()
+
+
+def test_a_callers_connection_with_something_unread_is_not_closed_for_room(one: One) -> None:
+    town, _, trunk, caller = one
+    stands(town, trunk, caller)
+    assert town.switch is not None
+    (link,) = town.switch.floor.callers
+    assert not link.unread()
+    link.inbox = SimpleQueue()  # the loop is late
+    town.call(caller)
+    wait_for(link.unread)
+    link.inbox.get(timeout=PATIENCE)
+    assert link.unread()
+    town.switch.floor.inbox.put(links.Came(link, Test(1)))
+    caller.hear(TestResult, 1)
+    assert not link.unread()
+
+
 def test_a_callers_connection_is_closed_when_it_has_had_no_call_for_long(
     one: One, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -92,6 +92,7 @@
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
         self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
         self._ahead = threading.Semaphore(AHEAD_MOST)
+        self._came = self._taken = 0  # messages: the reader's count and the loop's
         self._outbox: deque[bytes] = deque()
         self._waiting = 0
         self._more = threading.Condition()
@@ -131,8 +132,18 @@
 
     def taken(self) -> None:
         """The loop has dealt with one message: the reader may go on."""
+        self._taken += 1
         self._ahead.release()
 
+    def unread(self) -> bool:
+        """Whether the peer has sent what the loop has not dealt with; never blocks."""
+        if self._came != self._taken:
+            return True
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False  # nothing there, or no connection any more
+
     def close(self) -> None:
         """Close at once; both threads come back and the reader says so."""
         with self._more:
@@ -162,6 +173,7 @@
                 for message in splitter.feed(data):
                     whole = True
                     self._ahead.acquire()
+                    self._came += 1
                     self.inbox.put(Came(self, message))
                 now = time.monotonic_ns() // 1_000_000
                 if not splitter.begun():
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -70,6 +70,8 @@
 CALLER_SHARE = 0.45  # of the descriptors; callers hold a third at most, this guards the rest
 SPARE = 16  # connections of callers above that, accepted while room is made
 UNUSED = 6 * SECOND  # a caller's connection without a call is closed then; callers do it after 4 s themselves
+STAYED = 4200 * MS  # so one that had none for so long and is still there goes first where room is needed
+NEWCOMER = 500 * MS  # a caller speaks as soon as it is connected: one silent for longer goes before those
 REMEMBERED_MOST = 20000  # ended calls
 INHERITED = 30 * SECOND  # after the start: later, calls of a former life are over
 INHERITED_MOST = 2000
@@ -788,17 +790,33 @@
         link.close()
 
     def make_room(self) -> None:
-        """Before callers' connections run out, close some that no call waits on, the longest unused first.
+        """Before callers' connections run out, close some that no call waits on.
 
-        Silent ones must not keep the others out. A set-up that crosses such a close is sent again.
+        First those that stay and say nothing: silent since they came, then unused for long; an eighth of the
+        room at once, since hundreds come together. Only then, and no more than must be, who has just come: a
+        table full of callers that asked once and stayed would keep all others out. One that has sent what is
+        not dealt with yet is spared: its set-up would be lost with it. A set-up that crosses such a close is
+        sent again.
         """
         floor = self.floor
-        stay = [link for link in floor.callers if not link.leaving]
-        spare = [link for link in stay if not link.calls]
-        spare.sort(key=lambda link: (link in floor.speakers, link.heard_at))
-        for link in spare[: max(len(stay) - floor.callers_most, 0)]:
-            floor.counts["callers_closed_for_room"] += 1
-            self.drop(link)
+        staying: list[Link] = []
+        others: list[Link] = []
+        count = 0
+        for link in floor.callers:
+            if not link.leaving:
+                count += 1
+                if not link.calls:
+                    patience = STAYED if link in floor.speakers else NEWCOMER
+                    (staying if floor.now - link.heard_at >= patience else others).append(link)
+        for some, spare in ((staying, floor.callers_most // 8), (others, 0)):
+            some.sort(key=lambda link: (link in floor.speakers, link.heard_at))
+            for link in some:
+                if count <= floor.callers_most - spare:
+                    break
+                if not link.unread():
+                    count -= 1
+                    floor.counts["callers_closed_for_room"] += 1
+                    self.drop(link)
 
     def overdue(self, number: int) -> None:
         """The host's own guard: whatever the controller does, a call has its answer in time."""
