Read 'full' for want of a line as what it is: no pressure, and the server comes last till a line is free

Traces: 93 'full' answers, all from the smaller server after 8 to 15 ms, all with the note 'no circuit', its reported wait at 0 to 60 ms: 65 lines, all taken, its processor idle. The lines it was believed to have free were 0 to 6, at times none: `Controller._choices` asked the first choice all the same, and `_learn` read the answer as a processor that is full twice over: a mark that grows, a sample of 2.0, and with that a lower share. Ruled out: late reports of load (the waits agree), cold budgets, the host's queue.

Now a set-up takes its line off what was last told, a first choice without a free line comes after the others, and such a 'full' is no evidence of pressure; it keeps the shortest mark, however often.

--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -326,6 +326,25 @@
     assert server.mark_until > host.now
 
 
+def test_a_server_without_a_free_line_is_not_asked_and_not_taken_for_a_pressed_one() -> None:
+    host = Host(servers=2)
+    host.lines(s0=(1, 65), s1=(200, 240))
+    host.call(1)  # takes the line that was free
+    assert sent_to(host.call(2)) == ["s1"]
+    host.stands(1, "s0")
+    host.stands(2, "s1")
+    host.lines(s0=(1, 65))
+    assert sent_to(host.call(3)) == ["s0"]
+    ended = api.AttemptEnded(3, 0, "s0", api.Outcome.FULL, 9 * MS, False, False, {}, no_line=True)
+    assert sent_to(host.give(ended)) == ["s1"]  # another took it meanwhile
+    server = host.brain.servers["s0"]
+    assert (server.fails, server.mark_until - host.now, server.evidence[1:]) == (0, MARK, [])
+    host.now += MARK
+    assert sent_to(host.call(4)) == ["s1"]
+    host.lines(s0=(2, 65))
+    assert sent_to(host.call(5)) == ["s0"]
+
+
 def test_a_server_that_has_left_for_long_is_forgotten() -> None:
     host = Host(servers=2)
     for number in range(100):
--- a/wickstep/benchlink.py
+++ b/wickstep/benchlink.py
@@ -49,7 +49,7 @@
     "size": "lines",
 }
 OK = 200
-NOTE_CALLEE_BUSY = 4
+NOTE_NO_LINE, NOTE_CALLEE_BUSY = 1, 4
 
 
 class WireError(Exception):
@@ -152,6 +152,7 @@
         call_over=_bool(f[7]),
         callee_busy=note == NOTE_CALLEE_BUSY,
         report=read_report(f[9]),
+        no_line=note == NOTE_NO_LINE,
     )
 
 
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -76,7 +76,7 @@
     credit_at: int = 0
     rate: float = THIN  # set-ups a second that this proxy may expect to send it
     lines: float = 0.0  # as reported; 0: unknown
-    free: float = 0.0  # of them, as last told
+    free: float = 0.0  # of them, as last told, less what was sent since
 
 
 @dataclass(slots=True)
@@ -158,7 +158,10 @@
         if not any(weights):
             weights = [s.lines + 1 for s in others]
         turn = bisect(list(accumulate(weights)), self.pointer % 1 * sum(weights))
-        return [s for s in usable if s.number == wanted] + others[turn:] + others[:turn]
+        first = [s for s in usable if s.number == wanted]
+        # One without a free line would only say so, at the cost of its processor: the others come before it.
+        short = [s for s in first if s.lines and s.free < 1]
+        return [s for s in first if s not in short] + others[turn:] + others[:turn] + short
 
     def _place(self, call: Call) -> None:
         """Draw once, then send the call, hold it or refuse it."""
@@ -208,6 +211,7 @@
         call.server = server
         server.out[call.event.call] = self.now
         server.credit -= 1
+        server.free = max(0.0, server.free - 1)
         self.out.append(api.Send(call.event.call, server.name, max(call.deadline - self.now, 1)))
         # While answers get lost, a set-up out for three times the usual is called off, if another attempt can
         # still make its aim. Covers silent servers too; costs work where a server has just slowed down.
@@ -303,6 +307,9 @@
         """What an outcome says of its server."""
         failed = event.outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET)
         failed |= event.outcome is Outcome.TIMEOUT and not overtaken
+        if event.no_line and server.lines:
+            failed = False  # its processor may be idle: no sample, and the shortest mark however often
+            server.free, server.mark_until = 0.0, self.now + MARK
         if event.outcome in (Outcome.FULL, Outcome.ENDED, Outcome.ERROR):
             server.alive_at = self.now
         # An error is the call's as a rule, whose caller has sent what no server can use; a reset is the
--- a/wickstep/interface.py
+++ b/wickstep/interface.py
@@ -154,6 +154,7 @@
     call_over: bool
     callee_busy: bool  # all lines of the number called are taken
     report: Mapping[str, float]  # wait_ms, waiting, can_take, free, lines; whichever are known
+    no_line: bool = False  # full for want of a line, whatever its processor may be doing
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -336,6 +336,7 @@
                 call_over=over,
                 callee_busy=release is not None and release.note is Note.LINES_BUSY,
                 report=self.report(release.report) if release else {},
+                no_line=release is not None and release.note is Note.NO_CIRCUIT,
             )
         )
 
