Break a dumb connection off once its successor answers a probe, and blame no server for it

Checked: the new connection was up 20 to 50 ms after the first doubt, but nothing went out on it that could show the server to be well, since the window was full of what the dumb one had swallowed.

Now `opened` sends a probe on a connection made beside a silent one. A processor works in turn: once the probe is answered, what was sent before it on the old one is lost. That one is broken off then, its set-ups are reset, which holds nothing against the server. Where the probe brings nothing (a processor that hangs) all is as before.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -777,6 +777,21 @@
     again.sock.close()
 
 
+def test_a_dumb_connection_is_no_fault_of_a_server_that_answers_on_another(one: One) -> None:
+    town, server, trunk, caller = one
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    again = server.accept()
+    again.say(GroupState(again.hear(Test).call, LINES))  # sent later than the set-up, and answered
+    assert trunk.ends()
+    again.hear(SetUp, call)
+    assert town.switch is not None
+    known = town.switch.route.controller.servers["s-1"]
+    assert (known.fails, known.mark_until) == (0, 0)
+    again.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+
+
 def test_a_server_that_takes_no_newcomers_is_not_dialled_at_every_look(
     one: One, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -450,6 +450,8 @@
         for attempt in waiting:
             self._write(attempt)
         self.retire(server)
+        if server.retiring and self.floor.config.settings.may_probe:
+            self.ask(server, link)  # its answer shows that the server is well and the silent connection dumb
 
     def retire(self, server: Server) -> None:
         """Close replaced connections with nothing out on them, and the oldest where there are several."""
@@ -517,8 +519,9 @@
         """Doubt a connection that is silent while calls are there: a new one beside it shows who is alive.
 
         A connection may go dumb while its server is well, and swallow whatever is sent there. With set-ups
-        out it is doubted after half the shortest time in which a call is wanted; after the whole, and once
-        the new one has brought something, what is out on the dumb one has timed out.
+        out it is doubted after half the shortest time in which a call is wanted, and broken off once the new
+        one has brought an answer: a processor works in turn. After the whole time, and if the new one has
+        brought anything at all, what is out on the dumb one has timed out.
         """
         now = self.floor.now
         self.floor.at(now + WATCH, self.watch)
@@ -529,23 +532,27 @@
                     since[attempt.link] = min(since.get(attempt.link, now), attempt.sent_at)
             for link in [*server.retiring]:
                 quiet = now - max(link.heard_at, since.get(link, now))
-                if quiet > self.floor.wanted and server.link and server.link.spoke:
-                    self.floor.counts["links_dumb"] += 1
-                    self.time_out(server, link)
+                # Once its successor has answered what was sent later, the connection alone is at fault: a
+                # time-out would mark a server that is well, and that may be the only one.
+                if quiet > self.floor.wanted // 2 and server.link and server.link.answered:
+                    self.break_off(server, link, Outcome.RESET)
+                elif quiet > self.floor.wanted and server.link and server.link.spoke:
+                    self.break_off(server, link, Outcome.TIMEOUT)
             if server.link is not None and server.attempts:
                 quiet = now - max(server.link.heard_at, since.get(server.link, now))
                 doubted = quiet > self.floor.wanted // 2 or now - server.link.heard_at > SILENT
                 if doubted and now >= server.beside_after:
                     self.connect(server, beside=True)
 
-    def time_out(self, server: Server, link: Link) -> None:
+    def break_off(self, server: Server, link: Link, outcome: Outcome) -> None:
         """Close a connection on which no answer will come any more."""
+        self.floor.counts["links_dumb"] += 1
         if link in server.retiring:
             server.retiring.remove(link)
         link.close()
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.drop(attempt)
-            self.route.ended(attempt, Outcome.TIMEOUT, over=attempt.call.wire not in self.floor.open)
+            self.route.ended(attempt, outcome, over=attempt.call.wire not in self.floor.open)
 
     def abandon(self, server: Server, before: int, why: str) -> None:
         """The process that served until then is gone, its connections with it.
@@ -581,8 +588,11 @@
         server = self.floor.servers.get(action.server)
         if server is None or server.link is None:
             return
+        self.ask(server, server.link)
+
+    def ask(self, server: Server, link: Link) -> None:
         number = next(self.probe_ids)
-        if server.link.send(Test(number, probe=True)):
+        if link.send(Test(number, probe=True)):
             self.floor.counts["probes_sent"] += 1
             self.probes[number] = (server, self.floor.now)
             self.floor.at(self.floor.now + PROBE_WAIT, lambda: self.probe_over(number))
@@ -613,7 +623,7 @@
             self.floor.counts["strays"] += 1  # an answer to what has been given up; the server knows by now
             return
         call = attempt.call
-        attempt.stands = True
+        attempt.stands = link.answered = True
         if not self.book.final(call, message, "stands"):
             return
         self.floor.standing[call.wire] = attempt
@@ -1034,7 +1044,9 @@
             case Release():
                 self.relay.release(server, link, message)
             case GroupState(call=number, report=figures) | TestResult(call=number, report=figures):
-                if not self.send.probed(number, figures) and figures:
+                if self.send.probed(number, figures):
+                    link.answered = True
+                elif figures:
                     report = self.route.report(figures)
                     self.route.tell(api.ProbeAnswered(server.host, True, 0, report))
             case SetUp() | Test():
