--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -338,13 +338,23 @@
     ended = api.AttemptEnded(3, 0, "s0", api.Outcome.FULL, 9 * MS, False, False, {}, no_line=True)
     assert sent_to(host.give(ended)) == ["s1"]  # another took it meanwhile
     server = host.brain.servers["s0"]
-    assert (server.fails, server.mark_until - host.now, server.evidence[1:]) == (0, MARK, [])
-    host.now += MARK
+    assert (server.fails, server.mark_until, server.evidence[1:]) == (0, 0, [])
     assert sent_to(host.call(4)) == ["s1"]
     host.lines(s0=(2, 65))
     assert sent_to(host.call(5)) == ["s0"]
 
 
+def test_a_call_burns_no_attempts_where_it_found_no_line() -> None:
+    host = Host(servers=1)
+    host.lines(s0=(2, 65))
+    assert sent_to(host.call(1)) == ["s0"]
+    for attempt, then in ((0, ["s0"]), (1, [])):  # one may be chance: lines come free all the time
+        ended = api.AttemptEnded(1, attempt, "s0", api.Outcome.FULL, 9 * MS, False, False, {}, no_line=True)
+        assert sent_to(host.give(ended)) == then
+    host.lines(s0=(1, 65))
+    assert sent_to(host.run(2 * T_M)) == ["s0"]
+
+
 def test_a_server_that_has_left_for_long_is_forgotten() -> None:
     host = Host(servers=2)
     for number in range(100):
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -93,6 +93,7 @@
     off_at: int = 0  # when that has taken far longer than usual
     blocked_until: int = 0  # release wait
     erred: Server | None = None  # has answered an attempt with an error
+    short: Server | None = None  # had no line for it
     stuck: bool = False  # an attempt may have run, and must not run twice
 
 
@@ -149,6 +150,8 @@
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
         wanted, allowed = call.event.first_choice, call.klass.allowed
         usable = [s for s in self.active if self._unmarked(s) and (allowed is None or s.number in allowed)]
+        # Nor one that had no line for it twice: its attempts would all be burnt there within milliseconds.
+        usable = [s for s in usable if s is not call.short or s.free >= 1]
         # After an error another server is asked: that tells whose fault it was.
         usable = [s for s in usable if s is not call.erred] or usable
         others = [s for s in usable if s.number != wanted and not call.event.transit]
@@ -292,6 +295,8 @@
             if call.erred is not None:
                 return self._fail(event.call)  # twice: no server can use it
             call.erred = self.servers.get(event.server)
+        if event.no_line and call.attempts > 1:
+            call.short = self.servers.get(event.server)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             call.blocked_until = self.now + self.settings.release_wait
         proven = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -308,8 +313,8 @@
         failed = event.outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET)
         failed |= event.outcome is Outcome.TIMEOUT and not overtaken
         if event.no_line and server.lines:
-            failed = False  # its processor may be idle: no sample, and the shortest mark however often
-            server.free, server.mark_until = 0.0, self.now + MARK
+            failed = False  # its processor may be idle: no mark and no sample
+            server.free = 0.0
         if event.outcome in (Outcome.FULL, Outcome.ENDED, Outcome.ERROR):
             server.alive_at = self.now
         # An error is the call's as a rule, whose caller has sent what no server can use; a reset is the
