Bound the memory that waiting descriptions hold: 1,920 of 16 KiB came to 69 MB where 64 are allowed

Seen on reading, after the timers: `Admit.call` bounds open calls by number (30 for each MB of memory), which lets their descriptions fill half of it; and a call that stands kept its description to its end, though nothing is sent from it any more. Checked with a probe: 100 connections, 30 valid set-ups of 16 KB each, a server that never answers, 64 MB allowed. Resident memory 21 -> 69 MB with 1,920 calls open (peers of the probe included), over the limit at which the softswitch is killed. Ruled out: outboxes and the readers' queues (bounded, empty by then).

Now open descriptions may fill an eighth of the memory; beyond that a call is refused and told when to come back, as with too many of them. One that has its final answer drops its description. Usual descriptions are of some 75 bytes, so the bound by number still comes first for them.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -875,6 +875,21 @@
     assert caller.hear(Release, town.call(caller)).stay_away_ms == 1000
 
 
+def test_long_descriptions_fill_a_part_of_the_memory_and_no_more(one: One) -> None:
+    town, _, trunk, caller = one
+    assert town.switch is not None
+    floor = town.switch.floor
+    floor.config.max_held = 8  # 'offer' is of five bytes
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    assert caller.hear(Release, town.call(caller)).stay_away_ms > 0
+    trunk.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+    assert floor.held == 0
+    assert floor.standing[call].call.set_up.description == b""
+    stands(town, trunk, caller)
+
+
 def test_a_caller_that_was_told_to_go_and_reads_nothing_loses_its_place(one: One) -> None:
     town = one[0]
     deaf = town.caller()
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -16,7 +16,7 @@
 import time
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from queue import Empty, SimpleQueue
 from typing import Any
@@ -64,7 +64,8 @@
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
 STOP_AFTER = 400 * MS  # and the kill no sooner than the longest deadline, or this much of it, and 0.7 s:
 STOP_MOST = 3 * SECOND  # what is open after deadline and STOP_AFTER is answered first
-OPEN_PER_MB = 30  # calls that may wait at once, by the memory there is: each may hold 16 KiB
+OPEN_PER_MB = 30  # calls that may wait at once, by the memory there is
+HELD_PART = 8  # and of the memory their descriptions may fill one part in so many: each may be of 16 KiB
 UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
 TURN_MOST = 1000  # messages dealt with in one turn
 CALLER_SHARE = 0.45  # of the descriptors; callers hold a third at most, this guards the rest
@@ -100,6 +101,7 @@
     longest: tuple[int, ...]  # by class: how long a caller waits at most
     widths: tuple[int, ...]  # by class
     max_open: int
+    max_held: int  # bytes, of the descriptions of open calls
     dial_timeout: int
 
     @classmethod
@@ -123,6 +125,7 @@
             longest=tuple(int(item.get("give_up_ns") or LONGEST * NS) // NS for item in classes),
             widths=tuple(int(widths[place]) for place in range(len(classes))),
             max_open=min(int(limits.get("max_open") or 20000), memory_mb * OPEN_PER_MB),
+            max_held=(memory_mb << 20) // HELD_PART,
             dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
         )
 
@@ -187,6 +190,7 @@
         self.open: dict[int, Call] = {}  # by the id in messages: no final answer yet
         self.numbers: dict[int, Call] = {}  # the same by the controller's id
         self.standing: dict[int, Attempt] = {}  # by the id in messages
+        self.held = 0  # bytes of the descriptions of open calls
         # A server's connection is judged by the time in which a call is wanted.
         self.wanted = min(item.aim for item in config.settings.classes) // NS
         self.callers_most = int(config.sockets * CALLER_SHARE)
@@ -212,10 +216,8 @@
 
     def final(self, call: Call, message: Answer | Release, kind: str) -> bool:
         """The final answer; False if the call has had it."""
-        if self.floor.open.pop(call.wire, None) is None:
+        if not self._closed(call):
             return False
-        self.floor.numbers.pop(call.number, None)
-        call.caller.calls.pop(call.wire, None)
         self.floor.counts[f"answered_{kind}"] += 1
         if isinstance(message, Answer):
             call.caller.had_call = True
@@ -227,12 +229,20 @@
 
     def gone(self, call: Call) -> None:
         """The caller has left: nothing is owed."""
-        if self.floor.open.pop(call.wire, None) is not None:
-            self.floor.numbers.pop(call.number, None)
-            call.caller.calls.pop(call.wire, None)
+        if self._closed(call):
             self.floor.counts["callers_left"] += 1
             self.remember(call.wire, answered=False)  # it may come again, if its connection was closed
 
+    def _closed(self, call: Call) -> bool:
+        """Take a call out of the tables of open ones; False if it was none of them any more."""
+        if self.floor.open.pop(call.wire, None) is None:
+            return False
+        self.floor.numbers.pop(call.number, None)
+        call.caller.calls.pop(call.wire, None)
+        self.floor.held -= len(call.set_up.description)
+        call.set_up = replace(call.set_up, description=b"")  # it may stand for long, and needs it no more
+        return True
+
     def released(self, release: Release, caller: Link | None) -> None:
         """Release a call that stood, on its own connection or any other from callers."""
         self.remember(release.call)
@@ -685,7 +695,8 @@
     def call(self, call: Call) -> None:
         floor = self.floor
         late = floor.stopping_at and floor.now > floor.stopping_at + NOTICE
-        if late or len(floor.open) > floor.config.max_open:
+        full = len(floor.open) > floor.config.max_open or floor.held > floor.config.max_held
+        if late or full:
             # When to come back, where callers are told that: the same caller at once again helps nobody.
             settings = floor.config.settings
             away = settings.max_retry_after // (NS * MS) if settings.heeds_retry_after else 0
@@ -751,6 +762,7 @@
         deadline = floor.now + max(message.wait_ms * MS - MARGIN, MS)
         call = Call(next(self.serial), message.call, message, klass, link, deadline)
         floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
+        floor.held += len(message.description)
         try:
             self.admit.call(call)
         finally:
