Bound what callers' connections hold by bytes: pushed set-ups took 55 MB where 32 are allowed

Seen from reading: eight messages of a connection may wait for the loop, whatever their size, and the number of callers' connections follows the descriptors alone (links.py AHEAD_MOST; softswitch.py callers_most). Probe (one softswitch, callers that push set-ups of 16 KiB at full speed; anonymous memory, MB): limits 32 MB, 256 descriptors, 140 callers 17 silent, 55 pushing limits 64 MB, 1,024 descriptors, 480 callers 32 silent, 90 pushing limits 32 MB, 1,024 descriptors, 480 callers 32 silent, 88 pushing Over the limit the softswitch is killed, which is a crash. Ruled out: the descriptions of open calls (bounded before, an eighth) and the table of ended calls (20,000 entries of 0.35 KB: 7 of the 55 MB, all the same too much for 32).

Now a connection has 16 KiB waiting, as eight small messages or one large; its reader keeps no second copy of a message and reads callers by 4 KiB; descriptions may hold a sixteenth of the memory; connections (5 for each MB) and ended calls (150) follow the memory. Two more, found on the way: a release of 16 KiB full of figures became a dict of 0.4 MB (codec.py _figures), now malformed over 64 of them; a number called of 16 KiB was kept with its call and not counted, now refused over 255. The connections that a release may go to were sorted for each release; now only if its own is closed.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -447,6 +447,7 @@
         HEAD.pack(16, 1, 7) + b"\x45\x00\x04dest",
         HEAD.pack(14, 12, 7) + b"\x4e\x00\x02\x10\x10",
         HEAD.pack(41, 1, 7) + b"\x41\x00\x1d" + b"9" * 29,
+        HEAD.pack(276, 12, 7) + b"\x4e\x00\x01\x10" + b"\x49\x01\x04" + b"a:1;" * 65,  # a dict of far more
     ],
 )
 def test_malformed_input_costs_its_own_connection_and_no_other(one: One, junk: bytes) -> None:
@@ -477,6 +478,7 @@
         {"call": 0},
         {"wait_ms": 2_000_000_000},
         {"number": ""},
+        {"number": "7" * 256},
         {"description": b""},
         {"first_choice": 99},
         {"first_choice": -3},
@@ -891,6 +893,37 @@
     stands(town, trunk, caller)
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "sockets", "callers", "ended"),
+    [(192, 1024, 460, 28800), (32, 256, 115, 4800), (32, 1024, 160, 4800)],
+)
+def test_what_callers_may_hold_fits_the_memory_as_well_as_the_descriptors(
+    town: Town, memory_mb: int, sockets: int, callers: int, ended: int
+) -> None:
+    town.open()
+    raw = {**json.loads(town.text), "limits": {"memory_mb": memory_mb, "sockets": sockets}}
+    config = Config.read(json.dumps(raw))
+    assert (config.max_callers, config.max_ended) == (callers, ended)
+    assert config.max_held == memory_mb * 2**20 // 16
+
+
+@pytest.mark.parametrize(("size", "ahead"), [(1, links.AHEAD_MOST), (16000, 1)])
+def test_a_caller_that_pushes_has_a_bounded_part_waiting_for_the_loop(size: int, ahead: int) -> None:
+    inbox: links.Inbox = SimpleQueue()
+    server = Server()
+    link = links.Link(socket.create_connection(server.sock.getsockname()), inbox, None)
+    peer = server.accept()
+    link.start()
+    link.taken(inbox.get().shares)  # the state it greets with
+    threading.Thread(target=peer.say, args=[Answer(1, b"x" * size)] * 30, daemon=True).start()
+    for _ in range(30 - ahead):
+        wait_for(lambda: inbox.qsize() >= ahead)
+        assert inbox.qsize() == ahead
+        link.taken(inbox.get().shares)
+    peer.sock.close()
+    link.close()
+
+
 def test_a_caller_that_was_told_to_go_and_reads_nothing_loses_its_place(one: One) -> None:
     town = one[0]
     deaf = town.caller()
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -31,6 +31,7 @@
 PARAMETER = struct.Struct(">BH")
 LENGTH_FIELD = 2
 LEAST = HEAD.size - LENGTH_FIELD
+FIGURES_MOST = 64  # in one parameter: a message full of them would come to 25 times its size
 
 
 class Kind(IntEnum):
@@ -73,6 +74,7 @@
 
     def __init__(self) -> None:
         self._rest = bytearray()
+        self.size = 0  # bytes of the message yielded last
 
     def begun(self) -> bool:
         """Whether a part of a message is there."""
@@ -88,9 +90,10 @@
             end = LENGTH_FIELD + length
             if len(self._rest) < end:
                 return
-            raw = bytes(self._rest[:end])
+            message = decode(bytes(self._rest[:end]))
             del self._rest[:end]
-            yield decode(raw)
+            self.size = end
+            yield message  # who is slow to take it holds no second copy here
 
 
 def decode(raw: bytes) -> Message:
@@ -165,7 +168,10 @@
 def _figures(values: dict[int, bytes], code: int) -> dict[str, float]:
     """`name:value;name:value`; a value may be left open as `-`."""
     figures: dict[str, float] = {}
-    for pair in filter(None, _text(values, code).split(";")):
+    pairs = _text(values, code).split(";", FIGURES_MOST)
+    if len(pairs) > FIGURES_MOST:
+        raise Malformed(f"parameter {code} holds too many figures")
+    for pair in filter(None, pairs):
         name, colon, value = pair.partition(":")
         if not colon:
             raise Malformed(f"parameter {code} holds a figure without a value")
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -28,8 +28,10 @@
 STACK = 128 * 1024  # two threads a connection, hundreds of connections
 OUTBOX_MOST = 256 * 1024  # bytes; a server that leaves so much unread is not reading
 CALLER_OUTBOX_MOST = 64 * 1024  # the same for a caller: hundreds of them must fit the memory
-AHEAD_MOST = 8  # messages of one connection that may wait for the loop, of up to 16 KiB each
+AHEAD_MOST = 8  # shares of one connection's messages that may wait for the loop
+SHARE = codec.MOST // AHEAD_MOST  # bytes: so eight small messages wait, or one of 16 KiB
 CHUNK = 16 * 1024
+CALLER_CHUNK = 4 * 1024  # of a caller: each of hundreds that push holds one while its reader waits
 BACKLOG = 256
 BIND_S = 3.0
 FIRST_MS = 2000  # a caller that has sent nothing at all by then is closed: hundreds connect and stay silent
@@ -51,6 +53,7 @@
 class Came:
     link: Link
     message: Message
+    shares: int = 1  # of what its connection may have waiting for the loop
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +85,7 @@
         self.freed: Callable[[], None] = lambda: None  # called when the descriptor is free
         self.whole_ms = ANSWER_MS  # how long a message may take from its first byte
         self.outbox_most = OUTBOX_MOST
+        self.chunk = CHUNK
         self.had_call = False  # the loop's: a call that came on it has stood
         self.first_ms = 0  # how long the peer may be silent at first; 0: for ever
         self.leaving = False  # the loop's: told to close; what still comes is not taken in
@@ -131,10 +135,10 @@
         self.close()
         return False
 
-    def taken(self) -> None:
+    def taken(self, shares: int) -> None:
         """The loop has dealt with one message: the reader may go on."""
         self._taken += 1
-        self._ahead.release()
+        self._ahead.release(shares)
 
     def unread(self) -> bool:
         """Whether the peer has sent what the loop has not dealt with; never blocks."""
@@ -169,13 +173,12 @@
         until = 0  # when what has begun must be whole; 0: nothing has
         try:
             self._patience(self.first_ms)
-            while data := self.sock.recv(CHUNK):
+            while data := self.sock.recv(self.chunk):
                 whole = False
                 for message in splitter.feed(data):
                     whole = True
-                    self._ahead.acquire()
-                    self._came += 1
-                    self.inbox.put(Came(self, message))
+                    self._hand_on(message, splitter.size)
+                    del message  # or it would be held here until the peer's next word
                 now = time.monotonic_ns() // 1_000_000
                 if not splitter.begun():
                     until = 0
@@ -196,6 +199,18 @@
         self._leave()
         self.inbox.put(Closed(self, malformed))
 
+    def _hand_on(self, message: Message, size: int) -> None:
+        """Give the loop a message, once this connection has room for it among those that wait.
+
+        Room is counted in bytes: hundreds of connections that push messages of 16 KiB, eight of each waiting,
+        would fill the memory of a small machine.
+        """
+        shares = min(1 + size // SHARE, AHEAD_MOST)
+        for _ in range(shares):
+            self._ahead.acquire()
+        self._came += 1
+        self.inbox.put(Came(self, message, shares))
+
     def _patience(self, ms: int) -> None:
         """How long the next `recv` may take; the writer's `sendall` is not concerned."""
         if ms != self._waits:
@@ -287,7 +302,8 @@
                 self._room.release()
                 continue
             link.freed = self._room.release
-            link.whole_ms, link.first_ms, link.outbox_most = WHOLE_MS, FIRST_MS, CALLER_OUTBOX_MOST
+            link.whole_ms, link.first_ms = WHOLE_MS, FIRST_MS
+            link.outbox_most, link.chunk = CALLER_OUTBOX_MOST, CALLER_CHUNK
             self._inbox.put(Opened(link))
             try:
                 link.start()
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -15,7 +15,7 @@
 import sys
 import time
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from functools import partial
 from queue import Empty, SimpleQueue
@@ -65,15 +65,17 @@
 STOP_AFTER = 400 * MS  # and the kill no sooner than the longest deadline, or this much of it, and 0.7 s:
 STOP_MOST = 3 * SECOND  # what is open after deadline and STOP_AFTER is answered first
 OPEN_PER_MB = 30  # calls that may wait at once, by the memory there is
-HELD_PART = 8  # and of the memory their descriptions may fill one part in so many: each may be of 16 KiB
+HELD_PART = 16  # and of the memory their descriptions may fill one part in so many: each may be of 16 KiB
+NUMBER_MOST = 255  # characters of a number called: it is kept as long as its call
 UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
 TURN_MOST = 1000  # messages dealt with in one turn
 CALLER_SHARE = 0.45  # of the descriptors; callers hold a third at most, this guards the rest
+CALLERS_PER_MB = 5  # 40 KB for one that is silent, 80 KB while it pushes messages of 16 KiB
 SPARE = 16  # connections of callers above that, accepted while room is made
 UNUSED = 6 * SECOND  # a caller's connection without a call is closed then; callers do it after 4 s themselves
 STAYED = 4200 * MS  # so one that had none for so long and is still there goes first where room is needed
 NEWCOMER = 500 * MS  # a caller speaks as soon as it is connected: one silent for longer goes before those
-REMEMBERED_MOST = 20000  # ended calls
+REMEMBERED_PER_MB = 150  # ended calls, of 0.35 KB each
 INHERITED = 30 * SECOND  # after the start: later, calls of a former life are over
 INHERITED_MOST = 2000
 
@@ -102,6 +104,8 @@
     widths: tuple[int, ...]  # by class
     max_open: int
     max_held: int  # bytes, of the descriptions of open calls
+    max_callers: int  # connections
+    max_ended: int  # ended calls that are remembered
     dial_timeout: int
 
     @classmethod
@@ -112,12 +116,13 @@
         classes = conf["classes"]
         widths = conf.get("family_info", {}).get("widths") or [1] * len(classes)
         memory_mb = int(raw.get("limits", {}).get("memory_mb") or 192)
+        sockets = int(raw.get("limits", {}).get("sockets", 1024))
         links.address(str(raw["bulletin"]))  # one that cannot be called is no configuration
         return cls(
             name=str(raw["name"]),
             listen=str(raw["listen"]),
             seed=int(str(raw["seed"]), 16),
-            sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            sockets=sockets,
             bulletin=str(raw["bulletin"]),
             known=bulletin.read_events(raw.get("known") or {"no": 0, "items": []}),
             settings=read_settings(conf),
@@ -126,6 +131,8 @@
             widths=tuple(int(widths[place]) for place in range(len(classes))),
             max_open=min(int(limits.get("max_open") or 20000), memory_mb * OPEN_PER_MB),
             max_held=(memory_mb << 20) // HELD_PART,
+            max_callers=min(int(sockets * CALLER_SHARE), memory_mb * CALLERS_PER_MB),
+            max_ended=memory_mb * REMEMBERED_PER_MB,
             dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
         )
 
@@ -193,7 +200,7 @@
         self.held = 0  # bytes of the descriptions of open calls
         # A server's connection is judged by the time in which a call is wanted.
         self.wanted = min(item.aim for item in config.settings.classes) // NS
-        self.callers_most = int(config.sockets * CALLER_SHARE)
+        self.callers_most = config.max_callers
         self.callers: dict[Link, None] = {}  # connections that were accepted, oldest first
         self.speakers: dict[
             Link, None
@@ -246,10 +253,7 @@
     def released(self, release: Release, caller: Link | None) -> None:
         """Release a call that stood, on its own connection or any other from callers."""
         self.remember(release.call)
-        # On a stranger's connection a release may never be heard: those that had a call come first.
-        others = [*reversed(self.floor.speakers)]
-        others.sort(key=lambda link: not link.had_call)
-        for link in (*([caller] if caller else []), *others):
+        for link in self._towards(caller):
             if link.leaving:
                 continue
             if not link.closed and link.send(release):
@@ -262,6 +266,15 @@
                 return
         self.unsent.append(release)
 
+    def _towards(self, caller: Link | None) -> Iterator[Link]:
+        """Connections of callers on which a release may go: its own first, and as a rule none after it."""
+        if caller is not None:
+            yield caller
+        # On a stranger's connection a release may never be heard: those that had a call come first.
+        others = [*reversed(self.floor.speakers)]
+        others.sort(key=lambda link: not link.had_call)
+        yield from others
+
     def spoke(self, link: Link) -> None:
         """A caller is there: releases that found no connection go out."""
         if link in self.floor.speakers:
@@ -281,7 +294,8 @@
         now = self.floor.now
         self.ended[wire] = (now, answered)
         self.ended.move_to_end(wire)
-        while len(self.ended) > REMEMBERED_MOST or next(iter(self.ended.values()))[0] < now - REMEMBERED:
+        most = self.floor.config.max_ended
+        while len(self.ended) > most or next(iter(self.ended.values()))[0] < now - REMEMBERED:
             self.ended.popitem(last=False)
 
     def answered(self, wire: int) -> bool:
@@ -785,8 +799,8 @@
         # Callers round up, and a clock may have run on: a little over the longest wait is no nonsense yet.
         if not 0 < message.wait_ms * MS <= 2 * config.longest[klass]:
             return "a wait out of range"
-        if not message.number or not message.description:
-            return "no number or no description"
+        if not 0 < len(message.number) <= NUMBER_MOST or not message.description:
+            return "no number, an endless one, or no description"
         allowed = config.settings.classes[klass].allowed
         if message.first_choice != -1 and allowed is not None and message.first_choice not in allowed:
             return "a first choice that the class may not use"
@@ -1003,8 +1017,8 @@
 
     def deal(self, item: Any) -> None:
         match item:
-            case Came(link=link, message=message):
-                link.taken()
+            case Came(link=link, message=message, shares=shares):
+                link.taken(shares)
                 link.spoke = True
                 if not link.leaving:
                     link.heard_at = self.floor.now
