--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,9 +3,11 @@
 import io
 import json
 import os
+import shutil
 import subprocess
 import sys
 import tomllib
+from importlib.util import cache_from_source
 from pathlib import Path
 from typing import Any
 
@@ -144,8 +146,11 @@
     assert benchlink.write_action("p", action) == line
 
 
+DEPLOYED = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+
 def run_deployed(text: str) -> subprocess.CompletedProcess[str]:
-    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["sim"]
+    command = DEPLOYED["sim"]
     command = command.replace(".venv/bin/python", sys.executable)
     environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
     return subprocess.run(
@@ -166,3 +171,11 @@
     assert done.stdout == ""
     assert "NONSENSE here" in done.stderr
     assert "Traceback" not in done.stderr
+
+
+def test_the_build_leaves_compiled_modules_since_a_start_cannot_write_them(tmp_path: Path) -> None:
+    shutil.copytree(ROOT / "wickstep", tmp_path / "wickstep", ignore=shutil.ignore_patterns("__pycache__"))
+    (tmp_path / ".venv").symlink_to(sys.prefix)
+    subprocess.run(["/bin/sh", "-c", DEPLOYED["build"]], cwd=tmp_path, check=True)
+    sources = list((tmp_path / "wickstep").rglob("*.py"))
+    assert [path for path in sources if not Path(cache_from_source(str(path))).exists()] == []
