--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -1,5 +1,7 @@
 """One small test for each failure found on the bench; each fails without its guard."""
 
+import pytest
+
 from wickstep import interface as api
 from wickstep.brain import MARK, MARK_MOST, P_MIN, T_M, WINDOW_LEAST
 
@@ -278,6 +280,17 @@
     assert server.fails == 0
 
 
+@pytest.mark.parametrize(("took", "lost"), [(20 * MS, True), (40 * MS, False), (0, False)])
+def test_a_probe_that_is_answered_tells_what_is_lost_of_all_that_went_out_well_before(
+    took: int, lost: bool
+) -> None:
+    host = Host()
+    host.call(1)
+    host.run(100 * MS)
+    actions = host.give(api.ProbeAnswered("s0", True, took, {}))  # 0: a report that came unasked
+    assert (api.Cancel(1, 0) in actions) is lost
+
+
 def test_while_answers_get_lost_a_late_set_up_is_tried_again_within_its_aim() -> None:
     for loss, attempts in ((0.0, 1), (0.3, 2)):
         host = Host(servers=1)
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -779,6 +779,32 @@
     again.sock.close()
 
 
+def test_a_lost_answer_is_asked_after_and_the_call_tried_again(one: One) -> None:
+    town, _, trunk, caller = one
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    trunk.say(GroupState(trunk.hear(Test).call, LINES))  # it has had its turn: the answer is lost
+    assert trunk.hear(Release, call).reason is Reason.CLEARED
+    trunk.hear(SetUp, call)
+    trunk.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+
+
+def test_a_connection_that_swallows_a_probe_is_doubted_at_once(one: One) -> None:
+    town, server, trunk, caller = one
+    assert town.switch is not None
+    town.switch.floor.wanted = 10**12  # not for the time that has passed
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    trunk.hear(Test)
+    again = server.accept()
+    again.say(GroupState(again.hear(Test).call, LINES))
+    assert trunk.ends()
+    again.hear(SetUp, call)
+    again.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+
+
 def test_a_dumb_connection_is_no_fault_of_a_server_that_answers_on_another(one: One) -> None:
     town, server, trunk, caller = one
     call = town.call(caller)
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -32,6 +32,7 @@
 BASE_DRIFT = 1.002  # the shortest set-up time seen is forgotten this slowly, a set-up at a time
 FULL = 2.0  # sample of a refusal, a silence or an error: full twice over
 GAIN = 0.05  # of the newest in two slow averages: rate of own calls (per T_m), part lost (per set-up)
+IN_LINE = 3  # a probe waits in a processor's line once; a set-up twice, for itself and for its answer
 LOSSY = 0.1  # above this part lost, a set-up out for long is called off early
 MARK = SECOND // 5  # skip mark after one 'processor full' or time-out
 MARK_MOST = 3 * SECOND  # longest mark of a server that keeps failing
@@ -355,6 +356,8 @@
         server = self.servers.get(event.server)
         if server is not None and event.ok:
             self._report(server, event.report)
+            if event.took:  # it was asked: what went out well before has had its turn, and its answer another
+                self._overtaken(server, self.now - IN_LINE * event.took)
 
     # The control loop: smoothed occupancy and pass share of each server.
 
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -92,6 +92,7 @@
         self.inbox = inbox
         self.heard_at = 0  # the loop's: when the last message was dealt with
         self.spoke = False  # the loop's: whether there was one
+        self.asked_at = 0  # the loop's: when a probe last went out here
         self.answered = False  # the loop's: whether a set-up or a probe was answered here
         self.closed = False  # the loop's word for it; the threads notice by their socket
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -57,7 +57,8 @@
 SILENT = 2 * SECOND  # a connection that has brought nothing for so long is doubted
 VANISHED = 4 * SECOND  # and after so long its machine is given up, if no new connection comes up either
 DEAD = 2  # connects refused in a row, after a reset, that mean a dead process
-WATCH = 50 * MS  # how often that is looked at
+DOUBT, DOUBT_LEAST = 1.5, 40 * MS  # a set-up out for so many times the usual is asked after, by a probe
+WATCH = 20 * MS  # how often that is looked at
 REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
 LINKS_MOST = 4  # connections to one server
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
@@ -148,6 +149,7 @@
     born: int  # 0: long ago
     link: Link | None = None
     linked_at: int = 0  # when that connection came up
+    usual: int = 0  # how long a set-up takes there, smoothed
     dialing: bool = False
     lost: bool = False  # the last connection broke, and none has come up since
     refusals: int = 0  # connects refused since
@@ -542,13 +544,7 @@
         self.connect(server)
 
     def watch(self) -> None:
-        """Doubt a connection that is silent while calls are there: a new one beside it shows who is alive.
-
-        A connection may go dumb while its server is well, and swallow whatever is sent there. With set-ups
-        out it is doubted after half the shortest time in which a call is wanted, and broken off once the new
-        one has brought an answer: a processor works in turn. After the whole time, and if the new one has
-        brought anything at all, what is out on the dumb one has timed out.
-        """
+        """Look after what is out: answers get lost, and connections go dumb while their servers are well."""
         now = self.floor.now
         self.floor.at(now + WATCH, self.watch)
         for server in [*self.floor.servers.values()]:
@@ -557,18 +553,42 @@
                 if not attempt.stands:
                     since[attempt.link] = min(since.get(attempt.link, now), attempt.sent_at)
             for link in [*server.retiring]:
-                quiet = now - max(link.heard_at, since.get(link, now))
-                # Once its successor has answered what was sent later, the connection alone is at fault: a
-                # time-out would mark a server that is well, and that may be the only one.
-                if quiet > self.floor.wanted // 2 and server.link and server.link.answered:
-                    self.break_off(server, link, Outcome.RESET)
-                elif quiet > self.floor.wanted and server.link and server.link.spoke:
-                    self.break_off(server, link, Outcome.TIMEOUT)
+                self.judge(server, link, now - max(link.heard_at, since.get(link, now)))
             if server.link is not None and server.attempts:
-                quiet = now - max(server.link.heard_at, since.get(server.link, now))
-                doubted = quiet > self.floor.wanted // 2 or now - server.link.heard_at > SILENT
-                if doubted and now >= server.beside_after:
-                    self.connect(server, beside=True)
+                self.doubt(server, server.link, since.get(server.link, now))
+
+    def doubt(self, server: Server, link: Link, sent: int) -> None:
+        """Ask after a set-up that is out for long; where even that brings nothing, try a new connection.
+
+        The answer to the probe shows the controller what is lost: else it hears so from the next set-up that
+        stands there, and a softswitch with few calls has none for half an aim. A dumb connection swallows the
+        probe too. The new one beside it shows who is alive; without probes it is tried after half the
+        shortest time in which a call is wanted.
+        """
+        now = self.floor.now
+        quiet = now - max(link.heard_at, sent)
+        patience = max(int(DOUBT * server.usual), DOUBT_LEAST)
+        if self.floor.config.settings.may_probe and now - max(sent, link.asked_at) > patience:
+            self.ask(server, link)
+        unanswered = link.asked_at > link.heard_at and now - link.asked_at > max(server.usual, DOUBT_LEAST)
+        doubted = quiet > self.floor.wanted // 2 or now - link.heard_at > SILENT
+        if (doubted or (unanswered and quiet > patience)) and now >= server.beside_after:
+            self.connect(server, beside=True)
+
+    def judge(self, server: Server, link: Link, quiet: int) -> None:
+        """Break a replaced connection off once its successor shows it to be dumb: a processor works in turn.
+
+        An answer there to what was sent later means that the connection alone is at fault: a time-out would
+        mark a server that is well, and that may be the only one. After the whole time in which a call is
+        wanted, and if the successor has brought anything at all, what is out here has timed out.
+        """
+        if server.link is None:
+            return
+        overtaken = link.heard_at < link.asked_at <= server.linked_at - DOUBT_LEAST
+        if server.link.answered and (overtaken or quiet > self.floor.wanted // 2):
+            self.break_off(server, link, Outcome.RESET)
+        elif server.link.spoke and quiet > self.floor.wanted:
+            self.break_off(server, link, Outcome.TIMEOUT)
 
     def break_off(self, server: Server, link: Link, outcome: Outcome) -> None:
         """Close a connection on which no answer will come any more."""
@@ -619,6 +639,7 @@
     def ask(self, server: Server, link: Link) -> None:
         number = next(self.probe_ids)
         if link.send(Test(number, probe=True)):
+            link.asked_at = self.floor.now
             self.floor.counts["probes_sent"] += 1
             self.probes[number] = (server, self.floor.now)
             self.floor.at(self.floor.now + PROBE_WAIT, lambda: self.probe_over(number))
@@ -653,8 +674,9 @@
         if not self.book.final(call, message, "stands"):
             return
         self.floor.standing[call.wire] = attempt
-        took = (self.floor.now - attempt.sent_at) * NS
-        self.route.tell(api.CallStands(call.number, attempt.index, server.host, took))
+        took = self.floor.now - attempt.sent_at
+        server.usual += (took - server.usual) // 8
+        self.route.tell(api.CallStands(call.number, attempt.index, server.host, took * NS))
 
     def release(self, server: Server, link: Link, message: Release) -> None:
         link.send(ReleaseHeard(message.call))
@@ -1091,7 +1113,7 @@
             server = floor.servers.get(line.host)
             if server is None:
                 server = floor.servers[line.host] = Server(
-                    line.host, line.dial, line.number, line.state, born
+                    line.host, line.dial, line.number, line.state, born, usual=floor.wanted // 4
                 )
             elif born > server.born:
                 away.append((server, born))
