--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -1,5 +1,7 @@
 """One small test for each failure found on the bench; each fails without its guard."""
 
+from dataclasses import replace
+
 import pytest
 
 from wickstep import interface as api
@@ -307,6 +309,17 @@
         assert all(at < host.now - 850 * MS + BASIC.aim for at, _ in host.sends())
 
 
+@pytest.mark.parametrize(("aim", "part"), [(4 * SECOND, 1), (SECOND, 1), (SECOND // 4, 4)])
+def test_the_loop_is_as_quick_as_calls_are_wanted_and_never_slower(aim: int, part: int) -> None:
+    host = Host(classes=(replace(BASIC, aim=aim),))
+    first = host.brain.ticks
+    host.run(SECOND)
+    assert 5 * part - 1 <= host.brain.ticks - first <= 5 * part + 1
+    host.call(1)
+    host.ended(1, "s0", api.Outcome.FULL)
+    assert host.brain.servers["s0"].mark_until - host.now == MARK // part
+
+
 def test_a_stale_timer_does_not_call_off_a_later_attempt() -> None:
     host = Host(servers=2)
     host.brain.loss = 0.3
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -19,6 +19,7 @@
 
 SECOND = 1_000_000_000
 T_M = SECOND // 5  # sampling interval of the occupancy
+PACE_AIM = SECOND  # where calls are wanted sooner than this, the loop's times shrink with the shortest aim
 STEPS_PER_F = 2  # T_f in sampling intervals: the pass share is stepped on every second one
 WEIGHT = 0.8  # of the newest sample in the smoothed occupancy
 TARGET = 0.95  # occupancy aimed at
@@ -114,6 +115,9 @@
         self.now = self.ticks = 0
         self.least_worth = min(item.worth for item in settings.classes)
         self.aim = min(item.aim for item in settings.classes)
+        pace = min(1.0, self.aim / PACE_AIM)
+        self.t_m, self.quiet = int(T_M * pace), int(QUIET * pace)
+        self.mark, self.mark_most = int(MARK * pace), int(MARK_MOST * pace)
         self.loss = 0.0  # part of the set-ups whose answer is lost, of late
         self.length = sum(item.length for item in settings.classes) / len(settings.classes)
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -131,7 +135,7 @@
 
     def _start(self, event: api.Started) -> None:
         # Proxies that start together must not step together: the first tick falls at random within T_m.
-        self.out.append(api.Wake(TICK_TOKEN, self.now + self.random.randrange(1, T_M)))
+        self.out.append(api.Wake(TICK_TOKEN, self.now + self.random.randrange(1, self.t_m)))
         if self.settings.list_on_request:
             self.out.append(api.FollowList())
 
@@ -259,7 +263,7 @@
         if server is None or event.call not in server.out:
             return
         sent = server.out.pop(event.call)
-        self._overtaken(server, sent - T_M / 2)
+        self._overtaken(server, sent - self.t_m / 2)
         self.loss *= 1 - GAIN
         if server.base and server.cold_since > server.started and event.took < 2 * server.base:
             server.cold_since = server.started  # as quick as before: the suspected restart was none
@@ -362,9 +366,9 @@
     # The control loop: smoothed occupancy and pass share of each server.
 
     def _tick(self) -> None:
-        self.out.append(api.Wake(TICK_TOKEN, self.now + T_M))
+        self.out.append(api.Wake(TICK_TOKEN, self.now + self.t_m))
         self.ticks += 1
-        self.rate += max(GAIN, 1 / self.ticks) * (self.arrivals * SECOND / T_M - self.rate)
+        self.rate += max(GAIN, 1 / self.ticks) * (self.arrivals * SECOND / self.t_m - self.rate)
         self.arrivals = 0
         probing = self.settings.may_probe and self.ticks % PROBE_EVERY == 0
         lines = sum(server.lines + 1 for server in self.active)
@@ -373,7 +377,7 @@
             self._sample(server)
             if self.ticks % STEPS_PER_F == 0:
                 self._step(server)
-            if probing and server.share < 1 and self.now - server.heard_at > QUIET:
+            if probing and server.share < 1 and self.now - server.heard_at > self.quiet:
                 self.out.append(api.Probe(server.name))
         self._serve_held(everyone=True)
 
@@ -387,7 +391,7 @@
         if pending > 1:
             # The server has slowed down or died: what is out there closes the window only when it stands.
             server.window = max(WINDOW_LEAST, server.window / 2)
-        quiet = max(QUIET, 2 * SECOND / max(server.rate, LEAST_RATE))
+        quiet = max(self.quiet, 2 * SECOND / max(server.rate, LEAST_RATE))
         if server.evidence or pending > 1:
             sample = max(sum(server.evidence) / max(len(server.evidence), 1), pending)
         elif not server.out and self.now - server.heard_at > quiet:
@@ -449,7 +453,7 @@
         if server.mark_until <= self.now:
             server.fails += 1
             server.window = max(WINDOW_LEAST, server.window / 2)
-            server.mark_until = self.now + min(MARK << min(server.fails - 1, 10), MARK_MOST)
+            server.mark_until = self.now + min(self.mark << min(server.fails - 1, 10), self.mark_most)
 
     def _overtaken(self, server: Server, before: float) -> None:
         """Set-ups sent well before one that now stands, or before all that a report says is waiting, are
