--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -320,6 +320,20 @@
     assert host.brain.servers["s0"].mark_until - host.now == MARK // part
 
 
+def test_a_server_whose_successor_is_warm_enough_comes_last() -> None:
+    host = Host()
+    late = entry(0, started=host.now, name="late")
+    host.listing(late, kind=api.ListKind.CHANGES)
+    host.lines(s0=90, s1=90, late=90)
+    assert sent_to(host.call(1, first=0)) == ["s0"]  # the successor is cold: it could not do the work
+    host.stands(1, "s0")
+    host.run(21 * SECOND)
+    assert sent_to(host.call(2, first=0)) == ["late"]
+    host.stands(2, "late")
+    host.listing(entry(0, api.ServerState.GONE, late.started, "late"), kind=api.ListKind.CHANGES)
+    assert sent_to(host.call(9, first=0)) == ["s0"]
+
+
 def test_a_stale_timer_does_not_call_off_a_later_attempt() -> None:
     host = Host(servers=2)
     host.brain.loss = 0.3
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -43,6 +43,7 @@
 WINDOW_START = 2.0  # set-ups out at one server before anything is known of it
 WINDOW_LEAST = 1.0
 COLD_MARGIN = 0.7  # part of the cold budget used: many a server can do less than its lines are planned for
+WARM_ENOUGH = 0.8  # part of what it can do warm, from which on a successor takes over
 COLD_BURST = 0.1  # part of the budget that may be saved up; the rest flows in over the window
 PROBE_EVERY = 5  # sampling intervals between probes of a server, where probes are allowed
 LEAST_RATE = 0.1  # set-ups a second counted on at any server: it is tried again after two of them
@@ -61,6 +62,7 @@
     cold_since: int  # the same, or later where a restart is suspected
     state: ServerState = ServerState.GONE
     told_at: int = 0  # when the list last spoke of it
+    successor: Server | None = None  # active under the same number, and started later
     rho: float | None = None  # smoothed occupancy
     share: float = 1.0  # pass share p
     evidence: list[float] = field(default_factory=list)  # occupancy samples of this interval
@@ -162,14 +164,21 @@
         others = [s for s in usable if s.number != wanted and not call.event.transit]
         # Servers differ twentyfold: each fills a part of the ring by its free lines while it has room, or by
         # its lines if none has, so that what marks turn away does not fall on small and large alike.
-        weights = [s.free * self._roomy(s) for s in others]
+        weights = [s.free * self._roomy(s) * (not self._replaced(s)) for s in others]
         if not any(weights):
             weights = [s.lines + 1 for s in others]
         turn = bisect(list(accumulate(weights)), self.pointer % 1 * sum(weights))
         first = [s for s in usable if s.number == wanted]
         # One without a free line would only say so, at the cost of its processor: the others come before it.
         short = [s for s in first if s.lines and s.free < 1]
-        return [s for s in first if s not in short] + others[turn:] + others[:turn] + short
+        order = [s for s in first if s not in short] + others[turn:] + others[:turn] + short
+        return sorted(order, key=self._replaced)
+
+    def _replaced(self, server: Server) -> bool:
+        """Whether a successor can do its work. Then it comes last: it will drain at any moment, and what
+        stands there when it stops is cut.
+        """
+        return server.successor is not None and self._able(server.successor) >= WARM_ENOUGH
 
     def _place(self, call: Call) -> None:
         """Draw once, then send the call, hold it or refuse it."""
@@ -426,7 +435,7 @@
         quick = server.alive_at > 0 and server.rho is not None and server.rho < ROOM  # not by silence
         if server.cold_since <= 0 or age >= (1 if quick else 2) * rules.ramp_time:
             return True
-        able = min(1.0, rules.cold_from + (1 - rules.cold_from) * age / max(rules.ramp_time, 1))
+        able = self._able(server)
         # Of a server whose lines nobody has told yet, no more is believed than of the smallest.
         lines = server.lines or min((s.lines for s in self.active if s.lines), default=0.0)
         fair = lines * SECOND / ((self.length or math.inf) * rules.proxies) or self.rate / len(self.active)
@@ -442,6 +451,14 @@
         server.credit_at = self.now
         return server.credit >= 1
 
+    def _able(self, server: Server) -> float:
+        """What part of its capacity a server has at least, by its age."""
+        rules = self.settings
+        if server.cold_since <= 0:
+            return 1.0
+        age = max(self.now - server.cold_since, 0)
+        return min(1.0, rules.cold_from + (1 - rules.cold_from) * age / max(rules.ramp_time, 1))
+
     # Failing servers.
 
     def _unmarked(self, server: Server) -> bool:
@@ -492,3 +509,9 @@
             if server.state is ServerState.GONE and not server.out and self.now - server.told_at > FORGET:
                 del self.servers[name]  # its successors have names of their own: the table would only grow
         self.active = [server for server in self.servers.values() if server.state is ServerState.ACTIVE]
+        latest: dict[int, Server] = {}  # by number
+        for server in sorted(self.active, key=lambda s: s.started):
+            latest[server.number] = server
+        for server in self.active:
+            last = latest[server.number]
+            server.successor = last if last.started > server.started else None
