--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -53,6 +53,7 @@
 def test_pointer_turns_over_the_other_servers() -> None:
     host = Host(servers=3)
     host.brain.servers["s0"].mark_until = host.now + SECOND
+    host.brain.pointer = 0.0
     routes = [sent_to(host.call(n, first=0))[0] for n in range(1, 5)]
     assert routes == ["s1", "s2", "s1", "s2"]
 
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -1009,3 +1009,60 @@
     inbox: links.Inbox = SimpleQueue()
     links.dial("127.0.0.1:99999", 500_000, inbox, None)
     assert inbox.get(timeout=PATIENCE) == links.DialFailed(None, False)
+
+
+@pytest.mark.parametrize("passed", [True, False])
+def test_a_probe_turned_away_shows_nothing_of_what_waits(one: One, passed: bool) -> None:
+    town, _, trunk, caller = one
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    probe = trunk.hear(Test)  # after 1.5 times the usual
+    trunk.say(TestResult(probe.call, passed, LINES if passed else {}))
+    if passed:
+        assert trunk.hear(Release, call).reason is Reason.CLEARED  # overtaken, so lost
+        return
+    trunk.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+    assert town.switch is not None
+    assert town.switch.floor.counts["attempts_cancelled"] == 0
+
+
+def test_probes_are_few_however_long_a_set_up_is_out(one: One) -> None:
+    town, _, trunk, caller = one
+    call = town.call(caller, wait_ms=4000)
+    trunk.hear(SetUp, call)
+    caller.hear(Release, call)
+    assert town.switch is not None
+    proxies = town.switch.floor.config.settings.proxies
+    most = module.PROBES_SAVED + module.PROBES_A_SERVER / proxies * 5
+    assert 1 <= town.switch.floor.counts["probes_sent"] <= most
+
+
+def test_a_start_waits_for_a_thread_where_the_machine_has_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    start = threading.Thread.start
+    left = [3]
+
+    def scarce(thread: threading.Thread) -> None:
+        if left[0]:
+            left[0] -= 1
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", scarce)
+    ran = threading.Event()
+    links.spawn(ran.set)
+    assert ran.wait(PATIENCE)
+    left[0] = 10**6
+    with pytest.raises(RuntimeError):
+        links.spawn(ran.set, patience=0.0)
+
+
+def test_a_connection_costs_one_thread_while_its_peer_reads(town: Town) -> None:
+    servers = [Server() for _ in range(8)]
+    before = threading.active_count()
+    town.open(*(line(server, f"s-{n}", n) for n, server in enumerate(servers)))
+    trunks = [server.accept() for server in servers]
+    caller = town.caller()
+    stands(town, trunks[0], caller)
+    # The loop, the listener, the bulletin's client, a reader each.
+    assert threading.active_count() - before <= 3 + len(trunks) + 1
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -112,7 +112,9 @@
         self.calls: dict[int, Call] = {}
         self.held: dict[int, Call] = {}
         self.rate, self.arrivals = 0.0, 0  # own first tries: a second, and in this interval
-        self.pointer = 0.0  # turns by the golden section, which leaves no server of its ring out for long
+        # Turns by the golden section, which leaves no server of its ring out for long. Its start is drawn,
+        # or what a full server turns away at hundreds of proxies at once would all go to one other.
+        self.pointer = random.Random(~seed).random()
         self.out: api.Actions = []
         self.now = self.ticks = 0
         self.least_worth = min(item.worth for item in settings.classes)
@@ -264,7 +266,7 @@
         elif call.server is None and self.now >= call.blocked_until:
             self._place(call)
         elif call.server and self.now >= call.off_at and event.token - 1 in call.server.out:
-            self._call_off(call.server, event.token - 1)
+            self._call_off(call.server, event.token - 1, lost=False)
 
     def _stands(self, event: api.CallStands) -> None:
         self._drop(event.call)
@@ -480,9 +482,10 @@
         for number in [number for number, at in server.out.items() if at < before]:
             self._call_off(server, number)
 
-    def _call_off(self, server: Server, number: int) -> None:
+    def _call_off(self, server: Server, number: int, lost: bool = True) -> None:
+        """Late alone is not lost: counted as a loss, it would call off the next that is late, and so on."""
         del server.out[number]
-        self.loss += GAIN * (1 - self.loss)
+        self.loss += GAIN * (1 - self.loss) * lost
         call = self.calls.get(number)
         if call is not None and self.settings.may_cancel:
             self.out.append(api.Cancel(number, call.attempts - 1))
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -113,7 +113,7 @@
         self._moved = threading.Event()
 
     def start(self) -> None:
-        threading.Thread(target=self._follow, daemon=True).start()
+        links.spawn(self._follow)
 
     def move(self, where: str) -> None:
         """Follow the bulletin at another address, from the number that was reached.
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -1,8 +1,9 @@
-"""Connections and their threads: a reader and a writer each, one thread that accepts, one for a connect.
+"""Connections and their threads: a reader each, one thread that accepts, one for a connect.
 
-This file owns the sockets. Readers parse and enqueue, writers drain a bounded outbox, connects run aside.
-It must never decide anything about a call, and nothing here that the loop calls may ever block: a peer that
-is silent or does not read costs its own two threads and nothing else.
+This file owns the sockets. Readers parse and enqueue, connects run aside. What the loop says is written at
+once as far as the socket takes it; where a peer does not read, a writer of its own drains a bounded outbox
+until all is out. It must never decide anything about a call, and nothing here that the loop calls may ever
+block: a peer that is silent costs its own thread, one that does not read two, and nothing else.
 """
 
 from __future__ import annotations
@@ -25,9 +26,11 @@
 log = logging.getLogger(__name__)
 
 TIMEVAL = struct.Struct("@ll")
-STACK = 128 * 1024  # two threads a connection, hundreds of connections
+STACK = 128 * 1024  # a thread or two a connection, hundreds of connections
+THREAD_S = 5.0  # a machine that has no thread left for a new one may have one soon
 OUTBOX_MOST = 256 * 1024  # bytes; a server that leaves so much unread is not reading
 CALLER_OUTBOX_MOST = 64 * 1024  # the same for a caller: hundreds of them must fit the memory
+SEND_BUFFER = 16 * 1024
 AHEAD_MOST = 8  # shares of one connection's messages that may wait for the loop
 SHARE = codec.MOST // AHEAD_MOST  # bytes: so eight small messages wait, or one of 16 KiB
 CHUNK = 16 * 1024
@@ -46,6 +49,22 @@
     return host, int(port)
 
 
+def spawn(target: Callable[[], None], patience: float = THREAD_S) -> None:
+    """Start a thread, within `patience` seconds; RuntimeError if the machine has none by then.
+
+    Many softswitches may share a machine and its limit on threads, and all of them start together.
+    """
+    until = time.monotonic() + patience
+    while True:
+        try:
+            return threading.Thread(target=target, daemon=True).start()
+        except RuntimeError as trouble:
+            if time.monotonic() >= until:
+                raise
+            log.warning("no thread left: %s", trouble)
+            time.sleep(0.05)
+
+
 # What the threads tell the loop.
 
 
@@ -101,41 +120,54 @@
         self._came = self._taken = 0  # messages: the reader's count and the loop's
         self._outbox: deque[bytes] = deque()
         self._waiting = 0
-        self._more = threading.Condition()
+        self._lock = threading.RLock()  # over the outbox and what follows
+        self._writing = False  # a writer is at work
         self._last = False  # nothing may be added, what is there is still written
         self._waits = 0
-        self._users = 2  # threads that still use the socket
+        self._users = 1  # threads that still use the socket
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # What the kernel holds for a peer that does not read is bounded like the outbox.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         sock.settimeout(None)
 
-    def start(self) -> None:
-        """Start the writer and the reader; raises RuntimeError if the machine has no thread left."""
-        threading.Thread(target=self.run, daemon=True).start()
-
-    def run(self) -> None:
-        """The same on a thread that is there already, which becomes the reader."""
-        try:
-            threading.Thread(target=self._write, daemon=True).start()
-        except RuntimeError as trouble:
-            log.warning("no thread for a writer: %s", trouble)
-            self._leave()
-            self.close()
-        self._read()
+    def start(self, patience: float = 0.0) -> None:
+        """Start the reader; raises RuntimeError if the machine has no thread left."""
+        spawn(self.read, patience)
 
     def send(self, message: Message) -> bool:
-        """Queue a message; False if the connection is closing or the peer has not read for long."""
+        """Write a message, or queue it; False on a closing connection or where the peer does not read."""
         data = codec.encode(message)
-        with self._more:
+        with self._lock:
             if self._last:
                 return False
-            if self._waiting + len(data) <= self.outbox_most:
+            if not self._writing:
+                try:
+                    data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
+                except BlockingIOError:
+                    pass  # the peer does not read: a writer waits for it
+                except OSError:
+                    self.close()  # what was out here has gone with it, and the reader says so
+                if not data or self._last:
+                    return True
+            if self._waiting + len(data) <= self.outbox_most and self._write_aside():
                 self._outbox.append(data)
                 self._waiting += len(data)
-                self._more.notify()
                 return True
         self.close()
         return False
 
+    def _write_aside(self) -> bool:
+        """See to a writer; it takes the lock first, and finds what the caller adds under it."""
+        if not self._writing:
+            try:
+                threading.Thread(target=self._write, daemon=True).start()
+            except RuntimeError as trouble:
+                log.warning("no thread for a writer: %s", trouble)
+                return False
+            self._writing = True
+            self._users += 1
+        return True
+
     def taken(self, shares: int) -> None:
         """The loop has dealt with one message: the reader may go on."""
         self._taken += 1
@@ -151,24 +183,29 @@
             return False  # nothing there, or no connection any more
 
     def close(self) -> None:
-        """Close at once; both threads come back and the reader says so."""
-        with self._more:
+        """Close at once; the threads come back and the reader says so."""
+        with self._lock:
             self._last = True
             self._outbox.clear()
-            self._more.notify()
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
+        self._shut()
 
     def finish(self) -> None:
         """Nothing more will be said; what is queued is still written."""
-        with self._more:
+        with self._lock:
             self._last = True
-            self._more.notify()
+            if self._writing:
+                return  # the writer closes after the last word
+        self._shut()
+
+    def _shut(self) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)  # the reader comes back
 
     def drained(self) -> bool:
         return self._waiting == 0
 
-    def _read(self) -> None:
+    def read(self) -> None:
+        """The reader, to the connection's end."""
         splitter = codec.Splitter()
         malformed = False
         until = 0  # when what has begun must be whole; 0: nothing has
@@ -220,28 +257,27 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, span)
 
     def _write(self) -> None:
+        """A writer, until the outbox is empty."""
         while True:
-            with self._more:
-                while not self._outbox and not self._last:
-                    self._more.wait()
+            with self._lock:
                 if not self._outbox:
-                    break  # the last word is written
+                    self._writing = False
+                    break
                 data = b"".join(self._outbox)
                 self._outbox.clear()
             try:
                 self.sock.sendall(data)
             except OSError:
-                self.close()
-                break
-            with self._more:
+                self.close()  # clears the outbox too
+            with self._lock:
                 self._waiting -= len(data)
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)  # the reader comes back
+        if self._last:
+            self._shut()
         self._leave()
 
     def _leave(self) -> None:
         # The descriptor is freed by the last of the two: freed earlier, its number may be another's.
-        with self._more:
+        with self._lock:
             self._users -= 1
             last = self._users == 0
         if last:
@@ -276,7 +312,7 @@
         return name
 
     def start(self) -> None:
-        threading.Thread(target=self._accept, daemon=True).start()
+        spawn(self._accept)
 
     def close(self) -> None:
         with contextlib.suppress(OSError):
@@ -307,7 +343,7 @@
             link.outbox_most, link.chunk = CALLER_OUTBOX_MOST, CALLER_CHUNK
             self._inbox.put(Opened(link))
             try:
-                link.start()
+                link.start(patience=1.0)  # its set-up would be lost with it
             except RuntimeError as trouble:
                 log.warning("no thread for a caller's connection: %s", trouble)
                 sock.close()
@@ -326,7 +362,7 @@
             inbox.put(DialFailed(owner, isinstance(trouble, ConnectionRefusedError)))
             return
         inbox.put(Opened(link))
-        link.run()
+        link.read()
 
     try:
         threading.Thread(target=connect, daemon=True).start()
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -54,11 +54,14 @@
 LONGEST = 60 * SECOND  # a caller's wait where the settings name none
 MARGIN = 10 * MS  # a call is given up so long before its caller would, or the two would cross
 PROBE_WAIT = 250 * MS
+PROBES_A_SERVER = 3.0  # that one is asked in a second, by all softswitches together
+PROBES_SAVED = 3.0  # of this one's part
 SILENT = 2 * SECOND  # a connection that has brought nothing for so long is doubted
 VANISHED = 4 * SECOND  # and after so long its machine is given up, if no new connection comes up either
 DEAD = 2  # connects refused in a row, after a reset, that mean a dead process
 DOUBT, DOUBT_LEAST = 1.5, 40 * MS  # a set-up out for so many times the usual is asked after, by a probe
-WATCH = 20 * MS  # how often that is looked at
+WATCH = 20 * MS  # how often that is looked at,
+WATCH_IDLE = 200 * MS  # and where nothing is out
 REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
 LINKS_MOST = 4  # connections to one server
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
@@ -228,6 +231,7 @@
         if not self._closed(call):
             return False
         self.floor.counts[f"answered_{kind}"] += 1
+        log.info("%016x answered: %s", call.wire, kind)
         if isinstance(message, Answer):
             call.caller.had_call = True
         else:
@@ -352,13 +356,16 @@
 
     def ended(self, attempt: Attempt, outcome: Outcome, over: bool, release: Release | None = None) -> None:
         self.floor.counts[f"attempts_{outcome.value}"] += 1
+        took = self.floor.now - attempt.sent_at
+        log.info("%016x #%d %s at %s after %d us, %s", attempt.call.wire, attempt.index, outcome.value,
+                 attempt.server.host, took, release and (release.note, release.report))  # fmt: skip
         self.tell(
             api.AttemptEnded(
                 call=attempt.call.number,
                 attempt=attempt.index,
                 server=attempt.server.host,
                 outcome=outcome,
-                took=(self.floor.now - attempt.sent_at) * NS,
+                took=took * NS,
                 call_over=over,
                 callee_busy=release is not None and release.note is Note.LINES_BUSY,
                 report=self.report(release.report) if release else {},
@@ -373,6 +380,8 @@
     def __init__(self, floor: Floor, route: Route, book: Book) -> None:
         self.floor, self.route, self.book = floor, route, book
         self.probes: dict[int, tuple[Server, int]] = {}
+        self.watch_at = 0
+        self.probes_left, self.probes_at = PROBES_SAVED, floor.now
         self.probe_ids = itertools.count(floor.config.seed & 0xFFFFFFFF0000 | 1 << 63)
 
     def send(self, action: api.Send) -> None:
@@ -395,6 +404,7 @@
         ):
             return self.route.ended(attempt, Outcome.MOOT, over=False)
         call.attempt = server.attempts[call.wire] = attempt
+        self.watch_by(now + WATCH)
         # By number, like every timer of a call: one that held the call would keep its description, of up to
         # 16 KiB, until the deadline, long after a refusal.
         self.floor.at(attempt.limit_at, partial(self.expire, call.number, attempt.index))
@@ -407,6 +417,7 @@
         if server.link is not None and server.link.send(onward):
             attempt.link = server.link
             self.floor.counts["set_ups_sent"] += 1
+            log.info("%016x #%d sent to %s", call.wire, attempt.index, server.host)
             return
         server.link = None  # closing, if there was one
         server.waiting.append(attempt)
@@ -546,16 +557,26 @@
     def watch(self) -> None:
         """Look after what is out: answers get lost, and connections go dumb while their servers are well."""
         now = self.floor.now
-        self.floor.at(now + WATCH, self.watch)
+        if now < self.watch_at:
+            return  # brought forward since, and done
+        idle = True
         for server in [*self.floor.servers.values()]:
             since: dict[Link | None, int] = {}  # when the oldest of what is out on each was sent
             for attempt in server.attempts.values():
                 if not attempt.stands:
                     since[attempt.link] = min(since.get(attempt.link, now), attempt.sent_at)
+            idle = idle and not since and not server.retiring
             for link in [*server.retiring]:
                 self.judge(server, link, now - max(link.heard_at, since.get(link, now)))
             if server.link is not None and server.attempts:
                 self.doubt(server, server.link, since.get(server.link, now))
+        self.watch_by(now + (WATCH_IDLE if idle else WATCH))
+
+    def watch_by(self, due: int) -> None:
+        """Look again then, at the latest."""
+        if not self.floor.now < self.watch_at <= due:
+            self.watch_at = due
+            self.floor.at(due, self.watch)
 
     def doubt(self, server: Server, link: Link, sent: int) -> None:
         """Ask after a set-up that is out for long; where even that brings nothing, try a new connection.
@@ -637,10 +658,23 @@
         self.ask(server, server.link)
 
     def ask(self, server: Server, link: Link) -> None:
+        """Probe a server, as often as its part of all softswitches' probes allows.
+
+        Each is work of a processor that is late already: two hundred that ask after one slow set-up each,
+        again and again, take more of it than the calls do.
+        """
+        settings, now = self.floor.config.settings, self.floor.now
+        flow = PROBES_A_SERVER * max(len(self.floor.servers), 1) / settings.proxies
+        self.probes_left = min(PROBES_SAVED, self.probes_left + flow * (now - self.probes_at) / SECOND)
+        self.probes_at = now
+        if self.probes_left < 1:
+            return
         number = next(self.probe_ids)
         if link.send(Test(number, probe=True)):
+            self.probes_left -= 1
             link.asked_at = self.floor.now
             self.floor.counts["probes_sent"] += 1
+            log.info("%s is asked after %d us without a word", server.host, self.floor.now - link.heard_at)
             self.probes[number] = (server, self.floor.now)
             self.floor.at(self.floor.now + PROBE_WAIT, lambda: self.probe_over(number))
 
@@ -648,10 +682,12 @@
         self.probed(number, None)
 
     def probed(self, number: int, figures: Mapping[str, float] | None) -> bool:
-        """A probe is answered, or (with no figures) its time is up."""
+        """A probe is answered, or (with no figures) turned away or its time is up."""
         server, at = self.probes.pop(number, (None, 0))
         if server is None:
             return False
+        log.info("%s: a probe %s after %d us", server.host,
+                 "has no answer" if figures is None else "is answered", self.floor.now - at)  # fmt: skip
         report = self.route.report(figures or {})
         took = (self.floor.now - at) * NS
         self.route.tell(api.ProbeAnswered(server.host, figures is not None, took, report))
@@ -675,6 +711,7 @@
             return
         self.floor.standing[call.wire] = attempt
         took = self.floor.now - attempt.sent_at
+        log.info("%016x #%d stands at %s after %d us", call.wire, attempt.index, server.host, took)
         server.usual += (took - server.usual) // 8
         self.route.tell(api.CallStands(call.number, attempt.index, server.host, took * NS))
 
@@ -1093,6 +1130,10 @@
                 self.relay.answer(server, link, message)
             case Release():
                 self.relay.release(server, link, message)
+            case TestResult(call=number, passed=False):
+                # Turned away: a processor that is asked by hundreds answers so at once, past its line, and
+                # that says nothing of what waits there.
+                self.send.probed(number, None)
             case GroupState(call=number, report=figures) | TestResult(call=number, report=figures):
                 if self.send.probed(number, figures):
                     link.answered = True
