--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -152,6 +152,45 @@
     assert host.brain.loss <= loss
 
 
+def test_the_last_servers_with_room_take_their_own_part_of_what_the_pressed_turn_away() -> None:
+    taken = 0
+    for seed in range(50):
+        host = Host(servers=10, seed=seed, proxies=200)
+        host.lines(**{f"s{number}": 20 if number == 9 else 200 for number in range(10)})
+        for server in host.brain.servers.values():
+            server.base = 50.0 * MS
+            if server.number < 9:
+                server.rho, server.mark_until = 2.0, host.now + SECOND * (server.number == 0)
+        for number in range(1, 4):
+            taken += "s9" in sent_to(host.call(seed * 3 + number, first=0))
+    assert taken <= 150 / 20  # it has an eightieth of the lines; all would bury it
+
+
+def test_a_slow_processor_takes_less_whatever_its_lines() -> None:
+    taken: Counter[str] = Counter()
+    for seed in range(100):
+        host = Host(servers=3, seed=seed)
+        host.lines(s0=200, s1=200, s2=200)
+        host.brain.servers["s1"].base, host.brain.servers["s2"].base = 20.0 * MS, 100.0 * MS
+        host.brain.servers["s0"].mark_until = host.now + SECOND
+        taken.update(sent_to(host.call(1, first=0)))
+    assert taken["s1"] > 3 * taken["s2"] > 0
+
+
+def test_a_server_that_keeps_failing_few_calls_is_tried_seldom_by_all_proxies_together() -> None:
+    host = Host(servers=1, proxies=200)
+    server = host.brain.servers["s0"]
+    marks = []
+    for _ in range(1, 10):
+        server.rate = 0.2
+        host.brain._failed(server)
+        marks.append(server.mark_until - host.now)
+        host.now = host.brain.now = server.mark_until
+    assert marks[0] == MARK  # one failure proves little
+    assert marks[1] >= SECOND / 0.2  # two: the next own set-up is skipped
+    assert max(marks) == 200 * SECOND // 4  # four trials a second by all of them
+
+
 def test_a_pressed_share_turns_away_repeats_before_first_tries() -> None:
     host = Host(servers=1)
     host.brain.servers["s0"].share = 0.5
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -38,6 +38,7 @@
 MARK = SECOND // 5  # skip mark after one 'processor full' or time-out
 MARK_MOST = 3 * SECOND  # longest mark of a server that keeps failing
 ODD_MOST = 5  # errors and broken connections, with no call that stands between, that make a failure
+TRIALS = 4  # a second, of a server that keeps failing, by all proxies together
 SUSPECT = 2  # failures in a row after which a server gets one trial at a time
 QUIET = SECOND  # evidence older than this says nothing about now
 WINDOW_START = 2.0  # set-ups out at one server before anything is known of it
@@ -164,11 +165,22 @@
         # After an error another server is asked: that tells whose fault it was.
         usable = [s for s in usable if s is not call.erred] or usable
         others = [s for s in usable if s.number != wanted and not call.event.transit]
-        # Servers differ twentyfold: each fills a part of the ring by its free lines while it has room, or by
-        # its lines if none has, so that what marks turn away does not fall on small and large alike.
-        weights = [s.free * self._roomy(s) * (not self._replaced(s)) for s in others]
+        # Servers differ twentyfold: each fills a part of the ring by its lines, or its free ones while it has
+        # room, over its shortest set-up time: a slow processor may have lines for three times what it can do.
+        slowest = max((s.base for s in self.active), default=0.0) or 1.0
+        parts = [(s.lines + 1) / (s.base or slowest) for s in others]
+        roomy = [part * self._roomy(s) for part, s in zip(parts, others, strict=True)]
+        luck = call.event.call * math.sqrt(2) % 1  # the same however often it is placed
+        if self.rate < THIN * len(self.active) and 0 < sum(roomy) < luck * sum(parts):
+            # The last with room take their own parts, not those of the pressed: what hundreds of proxies
+            # turn away at the large, each seeing nothing amiss at the small, would bury the small at once.
+            others, parts, roomy = [], [], []
+        weights = [
+            part * s.free / (s.lines + 1) * (not self._replaced(s))
+            for part, s in zip(roomy, others, strict=True)
+        ]
         if not any(weights):
-            weights = [s.lines + 1 for s in others]
+            weights = parts
         turn = bisect(list(accumulate(weights)), self.pointer % 1 * sum(weights))
         first = [s for s in usable if s.number == wanted]
         # One without a free line would only say so, at the cost of its processor: the others come before it.
@@ -231,13 +243,13 @@
         server.out[call.event.call] = self.now
         server.credit -= 1
         server.free = max(0.0, server.free - 1)
-        self.out.append(api.Send(call.event.call, server.name, max(call.deadline - self.now, 1)))
         # While answers get lost, a set-up out for three times the usual is called off, if another attempt can
         # still make its aim. Covers silent servers too; costs work where a server has just slowed down.
         usual = int((server.rho or 1.0) * self._target_time(server))
         call.off_at = self.now + 3 * usual
         if self.loss > LOSSY and call.off_at + self.settings.release_wait + usual < call.aim_at:
             self.out.append(api.Wake(call.event.call + 1, call.off_at))
+        self.out.append(api.Send(call.event.call, server.name, max(call.deadline - self.now, 1)))
 
     def _refuse(self, call: Call) -> None:
         if call.stuck:
@@ -282,8 +294,7 @@
         if server.fails >= SUSPECT and server.heard_at > server.alive_at:
             server.cold_since = max(server.cold_since, self.now)  # silent till now: restarted, perhaps
         server.fails, server.odd, server.alive_at = 0, 0, self.now
-        target = self._target_time(server)
-        self._witness(server, event.took / target)
+        self._witness(server, event.took / (target := self._target_time(server)))
         # The window opens while set-ups come back within the time aimed at, else it closes.
         if event.took > target:
             server.window = max(WINDOW_LEAST, server.window - 1 / server.window)
@@ -434,7 +445,7 @@
             return False
         rules = self.settings
         age = max(self.now - server.cold_since, 0)
-        quick = server.alive_at > 0 and server.rho is not None and server.rho < ROOM  # not by silence
+        quick = server.alive_at > 0 and (server.rho or ROOM) < ROOM  # not by silence
         if server.cold_since <= 0 or age >= (1 if quick else 2) * rules.ramp_time:
             return True
         able = self._able(server)
@@ -472,7 +483,13 @@
         if server.mark_until <= self.now:
             server.fails += 1
             server.window = max(WINDOW_LEAST, server.window / 2)
-            server.mark_until = self.now + min(self.mark << min(server.fails - 1, 10), self.mark_most)
+            mark, most = self.mark, self.mark_most
+            if server.rate < THIN and server.fails >= SUSPECT:
+                # Own set-ups come seconds apart: a short mark skips none of them, and a trial after each by
+                # hundreds of proxies is what keeps a small server down.
+                mark = max(mark, int(SECOND / max(server.rate, LEAST_RATE)))
+                most = max(most, self.settings.proxies * SECOND // TRIALS)
+            server.mark_until = self.now + min(mark << min(server.fails - 1, 10), most)
 
     def _overtaken(self, server: Server, before: float) -> None:
         """Set-ups sent well before one that now stands, or before all that a report says is waiting, are
@@ -495,9 +512,8 @@
     def _list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.REFUSED:
             return self.out.append(api.FollowList())
-        if event.kind is api.ListKind.COMPLETE:
-            for server in self.servers.values():
-                server.state = ServerState.GONE  # unless listed
+        for server in self.servers.values() if event.kind is api.ListKind.COMPLETE else ():
+            server.state = ServerState.GONE  # unless listed
         for entry in event.entries:
             old = self.servers.get(entry.server)
             if old is None or entry.started > old.started:
