--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -1,9 +1,9 @@
-"""Connections and their threads: a reader each, one thread that accepts, one for a connect.
+"""Connections and their threads: a reader for each caller's, one for all servers', one that accepts.
 
 This file owns the sockets. Readers parse and enqueue, connects run aside. What the loop says is written at
 once as far as the socket takes it; where a peer does not read, a writer of its own drains a bounded outbox
 until all is out. It must never decide anything about a call, and nothing here that the loop calls may ever
-block: a peer that is silent costs its own thread, one that does not read two, and nothing else.
+block: a peer that is silent costs a thread at most, one that does not read another, and nothing else.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import contextlib
 import errno
 import logging
+import select
 import socket
 import struct
 import threading
@@ -39,6 +40,7 @@
 BIND_S = 3.0
 FIRST_MS = 2000  # a caller that has sent nothing at all by then is closed: hundreds connect and stay silent
 WHOLE_MS = 1500  # and so is one whose message, once begun, is not whole by then
+LOOK_MS = 50  # how soon the common reader sees a new connection
 ANSWER_MS = 200  # the same for a server: what follows would be taken for the message's rest
 
 
@@ -116,6 +118,9 @@
         self.closed = False  # the loop's word for it; the threads notice by their socket
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
         self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
+        self.shared = False  # read by the common reader
+        self._splitter = codec.Splitter()
+        self._until = 0  # in milliseconds, when what has begun must be whole; 0: nothing has
         self._ahead = threading.Semaphore(AHEAD_MOST)
         self._came = self._taken = 0  # messages: the reader's count and the loop's
         self._outbox: deque[bytes] = deque()
@@ -171,7 +176,8 @@
     def taken(self, shares: int) -> None:
         """The loop has dealt with one message: the reader may go on."""
         self._taken += 1
-        self._ahead.release(shares)
+        if shares:
+            self._ahead.release(shares)
 
     def unread(self) -> bool:
         """Whether the peer has sent what the loop has not dealt with; never blocks."""
@@ -206,33 +212,67 @@
 
     def read(self) -> None:
         """The reader, to the connection's end."""
-        splitter = codec.Splitter()
         malformed = False
-        until = 0  # when what has begun must be whole; 0: nothing has
         try:
             self._patience(self.first_ms)
             while data := self.sock.recv(self.chunk):
-                whole = False
-                for message in splitter.feed(data):
-                    whole = True
-                    self._hand_on(message, splitter.size)
-                    del message  # or it would be held here until the peer's next word
-                now = time.monotonic_ns() // 1_000_000
-                if not splitter.begun():
-                    until = 0
-                elif whole or not until:
-                    until = now + self.whole_ms
-                elif now >= until:
-                    raise codec.Malformed("a message that does not end")
-                self._patience(max(until - now, 1) if until else 0)
+                self._patience(self._digest(data))
         except BlockingIOError:
-            log.info("closing a connection: %s", "a message stops short" if until else "never spoke")
-            malformed = until > 0
+            malformed = self._until > 0
+            log.info("closing a connection: %s", "a message stops short" if malformed else "never spoke")
         except codec.Malformed as trouble:
             log.warning("closing a connection: %s", trouble)
             malformed = True
         except OSError:
             pass  # reset: the same as closed
+        self._end(malformed)
+
+    def pump(self) -> bool:
+        """What the common reader does where there is something; False once the connection has ended."""
+        malformed = False
+        try:
+            if data := self.sock.recv(self.chunk, socket.MSG_DONTWAIT):
+                self._digest(data)
+                return True
+        except BlockingIOError:
+            return True
+        except codec.Malformed as trouble:
+            log.warning("closing a connection: %s", trouble)
+            malformed = True
+        except OSError:
+            pass
+        self._end(malformed)
+        return False
+
+    def stops_short(self) -> bool:
+        """Whether a message has begun and is not whole in time. Ends the connection then."""
+        if not 0 < self._until <= time.monotonic_ns() // 1_000_000:
+            return False
+        log.warning("closing a connection: a message stops short")
+        self._end(True)
+        return True
+
+    def full(self) -> bool:
+        """Whether so much waits for the loop that nothing more may be read."""
+        return self._came - self._taken >= AHEAD_MOST
+
+    def _digest(self, data: bytes) -> int:
+        """Hand on what is whole; for how long the rest may take to come, in milliseconds, 0: for ever."""
+        whole = False
+        for message in self._splitter.feed(data):
+            whole = True
+            self._hand_on(message, self._splitter.size)
+            del message  # or it would be held here until the peer's next word
+        now = time.monotonic_ns() // 1_000_000
+        if not self._splitter.begun():
+            self._until = 0
+        elif whole or not self._until:
+            self._until = now + self.whole_ms
+        elif now >= self._until:
+            raise codec.Malformed("a message that does not end")
+        return max(self._until - now, 1) if self._until else 0
+
+    def _end(self, malformed: bool) -> None:
         self.close()
         self._leave()
         self.inbox.put(Closed(self, malformed))
@@ -241,9 +281,9 @@
         """Give the loop a message, once this connection has room for it among those that wait.
 
         Room is counted in bytes: hundreds of connections that push messages of 16 KiB, eight of each waiting,
-        would fill the memory of a small machine.
+        would fill the memory of a small machine. The common reader never waits: it looks for room first.
         """
-        shares = min(1 + size // SHARE, AHEAD_MOST)
+        shares = 0 if self.shared else min(1 + size // SHARE, AHEAD_MOST)
         for _ in range(shares):
             self._ahead.acquire()
         self._came += 1
@@ -351,7 +391,43 @@
                 self._inbox.put(Closed(link))
 
 
-def dial(where: str, timeout_us: int, inbox: Inbox, owner: Any) -> None:
+class Reader:
+    """One thread that reads all connections to servers.
+
+    A thread each is what a machine that holds hundreds of softswitches does not have: with two dozen servers
+    a thousand of them come to 32,565 threads, where 32,768 may be. None of these reads can block, since they
+    follow a poll, and a connection of which much waits for the loop is left alone until it is dealt with.
+    """
+
+    def __init__(self) -> None:
+        self._links: list[Link] = []
+        self._lock = threading.Lock()  # over that list
+
+    def start(self) -> None:
+        spawn(self._run)
+
+    def add(self, link: Link) -> None:
+        """From now on, or within `LOOK_MS`: a peer of many connections is waited for that long anyway."""
+        link.shared = True
+        with self._lock:
+            self._links.append(link)
+
+    def _run(self) -> None:
+        while True:
+            with self._lock:
+                links = [*self._links]
+            by_descriptor = {link.sock.fileno(): link for link in links if not link.full()}
+            poll = select.poll()
+            for descriptor in by_descriptor:
+                poll.register(descriptor, select.POLLIN)
+            ended = [by_descriptor[at] for at, _ in poll.poll(LOOK_MS) if not by_descriptor[at].pump()]
+            ended += [link for link in links if link not in ended and link.stops_short()]
+            if ended:
+                with self._lock:
+                    self._links = [link for link in self._links if link not in ended]
+
+
+def dial(where: str, timeout_us: int, inbox: Inbox, owner: Any, reader: Reader) -> None:
     """Connect aside. The loop is told `Opened` or `DialFailed`."""
 
     def connect() -> None:
@@ -362,7 +438,7 @@
             inbox.put(DialFailed(owner, isinstance(trouble, ConnectionRefusedError)))
             return
         inbox.put(Opened(link))
-        link.read()
+        reader.add(link)
 
     try:
         threading.Thread(target=connect, daemon=True).start()
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -380,6 +380,7 @@
     def __init__(self, floor: Floor, route: Route, book: Book) -> None:
         self.floor, self.route, self.book = floor, route, book
         self.probes: dict[int, tuple[Server, int]] = {}
+        self.reader = links.Reader()
         self.watch_at = 0
         self.probes_left, self.probes_at = PROBES_SAVED, floor.now
         self.probe_ids = itertools.count(floor.config.seed & 0xFFFFFFFF0000 | 1 << 63)
@@ -472,7 +473,7 @@
         if wanted and not server.dialing and server.state is not ServerState.GONE:
             server.dialing = True
             self.floor.counts["dials"] += 1
-            links.dial(server.dial, self.floor.config.dial_timeout, self.floor.inbox, server)
+            links.dial(server.dial, self.floor.config.dial_timeout, self.floor.inbox, server, self.reader)
 
     def opened(self, link: Link, server: Server) -> None:
         server.dialing = False
@@ -990,6 +991,7 @@
         """Serve until told to stop, then answer what was taken."""
         floor = self.floor
         self.route.tell(api.Started())
+        self.send.reader.start()
         self.send.watch()
         self.tidy()
         after, events = floor.config.known
