--- a/wickstep/numbering/index.py
+++ b/wickstep/numbering/index.py
@@ -14,11 +14,13 @@
 from array import array
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator
+from heapq import merge
 
 from wickstep.numbering import digits
 
 NONE = 0xFFFFFFFF  # no enclosing prefix; so there may be that many less one
 FULL = (1 << 64) - 1
+PIECE = 16_384  # entries sorted at a time: some milliseconds
 
 
 class Duplicate(ValueError):
@@ -29,6 +31,22 @@
         self.prefix, self.first, self.second = prefix, first, second
 
 
+def _sorted(entries: Iterable[tuple[str, int]]) -> Iterator[int]:
+    """The entries in order, each as one number that sorts by start, then by length, and carries the value.
+
+    Sorted in pieces and merged: the sort of a million holds the interpreter's lock for most of a second, in
+    which a softswitch that loads a table answers nobody.
+    """
+    pieces: list[list[int]] = [[]]
+    for prefix, value in entries:
+        if len(pieces[-1]) >= PIECE:
+            pieces[-1].sort()
+            pieces.append([])
+        pieces[-1].append((digits.code(prefix) << 5 | len(prefix)) << 32 | value)
+    pieces[-1].sort()
+    return iter(pieces[0]) if len(pieces) == 1 else merge(*pieces)
+
+
 def span(length: int) -> int:
     """How many codes a prefix of so many digits covers, less one."""
     return FULL >> 4 * length
@@ -41,12 +59,10 @@
 
     def __init__(self, entries: Iterable[tuple[str, int]]) -> None:
         """From (prefix, value) in any order; values below 2 to the 32nd. Raises Duplicate."""
-        # One number sorts by start, then by length, and carries the value: tuples would take twice as much.
-        packed = sorted((digits.code(prefix) << 5 | len(prefix)) << 32 | value for prefix, value in entries)
         self._starts, self._lengths = array("Q"), array("B")
         self._values, self._parents = array("I"), array("I")
         nest: list[int] = []  # places of the prefixes that enclose the present one
-        for place, item in enumerate(packed):
+        for place, item in enumerate(_sorted(entries)):
             start, length, value = item >> 37, item >> 32 & 31, item & 0xFFFFFFFF
             while nest and self._starts[nest[-1]] + span(self._lengths[nest[-1]]) < start:
                 nest.pop()
@@ -100,7 +116,9 @@
     Numbers of 16 digits are private and count in sixteens; all shorter ones are public and count in tens.
     """
     size = len(first)
-    if not 0 < size == len(last) or first > last:
+    whole = all(digits.ALPHABET.find(character) >= 0 for character in first + last)
+    public = size < digits.MOST
+    if not 0 < size == len(last) or first > last or not whole or (public and not (first + last).isdecimal()):
         raise ValueError(f"no range from {first!r} to {last!r}")
     base = 16 if size == digits.MOST else 10
     at, end = int(first, base), int(last, base)
