--- a/wickstep/numbering/reader.py
+++ b/wickstep/numbering/reader.py
@@ -65,7 +65,7 @@
 
 
 def _keep(node: KdlNode, place: ParseFragment) -> Node:
-    children: list[Any] = [child for child in node.nodes if isinstance(child, Node)]  # all of them: they come first
+    children: list[Any] = node.nodes  # made by this function too: a child comes before its parent
     return Node(node.name, node.args, dict(node.props), children, place)
 
 
