Route by the number called: stage, portability look-ups, tables swapped in service

Look-ups decide without I/O; ENUM over TCP in threads of its own; tables are read by a thread and swapped in one step.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -157,10 +157,13 @@
                 "limits": {"sockets": 256},
             }
         )  # fmt: skip
-        self.switch = Softswitch(Config.read(self.text), lambda: Config.read(self.text))
+        self.switch = self.build(Config.read(self.text))
         self.thread = threading.Thread(target=self.switch.run)
         self.thread.start()
 
+    def build(self, config: Config) -> Softswitch:
+        return Softswitch(config, lambda: Config.read(self.text))
+
     def caller(self) -> Peer:
         assert self.switch is not None
         return Peer(socket.create_connection(self.switch.listener.where))
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -8,14 +8,19 @@
 import socket
 import sys
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from datetime import datetime
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from wickstep import __version__
 from wickstep.net import Message, Release, SetUp, Test, TestResult, codec, links, softswitch
 
+if TYPE_CHECKING:
+    from wickstep.numbering.table import Table
+
 
 @click.group()
 def main() -> None:
@@ -99,7 +104,13 @@
 @main.command()
 @CONFIG
 @click.option("--verbose", is_flag=True, help="Log more than warnings.")
-def serve(path: Path, verbose: bool) -> None:
+@click.option(
+    "--numbers",
+    "numbers_path",
+    type=click.Path(path_type=Path),
+    help="Analyse the numbers called by this table, as KDL; read again on SIGHUP.",
+)
+def serve(path: Path, verbose: bool, numbers_path: Path | None) -> None:
     """Serve calls until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters."""
     logging.basicConfig(
         stream=sys.stderr,
@@ -107,7 +118,7 @@
         format="%(asctime)s %(name)s %(message)s",
     )
     threading.stack_size(links.STACK)
-    switch = softswitch.Softswitch(read(path), lambda: read(path))
+    switch = softswitch.Softswitch(read(path), lambda: read(path), analysis_by(numbers_path))
 
     def stop(*_: object) -> None:
         switch.stop_asked = True
@@ -128,5 +139,82 @@
     softswitch.leave()
 
 
+def analysis_by(
+    path: Path | None,
+) -> Callable[[softswitch.Floor, softswitch.Admit], softswitch.Numbers] | None:
+    """What makes the stage of number analysis; None where it is off, and then nothing of it is loaded."""
+    if path is None:
+        return None
+    from wickstep.numbering import stage
+
+    table = read_table(path)
+    return lambda floor, admit: stage.NumberStage(floor, admit, path, table)
+
+
+def read_table(path: Path) -> Table:
+    from wickstep.numbering import stage
+    from wickstep.numbering.table import BadTable
+
+    try:
+        return stage.load(path)
+    except BadTable as trouble:
+        told = "\n".join(map(str, trouble.troubles))
+        raise click.ClickException(f"{path} is no table\n{told}") from trouble
+
+
+@main.group()
+def numbers() -> None:
+    """Look at a table of number analysis."""
+
+
+@numbers.command("check")
+@click.argument("path", type=click.Path(path_type=Path))
+def check_numbers(path: Path) -> None:
+    """Read a table and say what it holds, or what is wrong with it; exit code 0 or 1."""
+    table = read_table(path)
+    sizes = ", ".join(f"{count} {name}" for name, count in table.sizes.items())
+    click.echo(f"{table.version or 'no version'}: {sizes}")
+
+
+@numbers.command("explain")
+@click.argument("number")
+@click.option(
+    "--table",
+    "path",
+    default="deploy/numbering.kdl",
+    show_default=True,
+    type=click.Path(path_type=Path),
+    help="The table, as KDL.",
+)
+@click.option("--at", "instant", default="", help="When, as 2026-12-01T09:30+08:00; by default now.")
+def explain_number(number: str, path: Path, instant: str) -> None:
+    """Say how a number is analysed at a time, and why; exit code 0 if it leads anywhere."""
+    from wickstep.numbering.analysis import Verdict, analyse, resolve
+
+    try:
+        moment = datetime.fromisoformat(instant) if instant else datetime.now().astimezone()
+    except ValueError as trouble:
+        raise click.BadParameter(str(trouble), param_hint="--at") from trouble
+    if moment.tzinfo is None:
+        raise click.BadParameter("a time zone is wanted: 2026-12-01T09:30+08:00", param_hint="--at")
+    table = read_table(path)
+    found = analyse(table, number, moment.timestamp())
+    if found.verdict is Verdict.LOOK_UP:
+        click.echo("portability is not asked here; without an answer:")
+        found = resolve(table, found, None)
+    for step in found.steps:
+        click.echo(f"  {step}")
+    for schedule in table.schedules.values():
+        state = "open" if schedule.open_at(moment.timestamp()) else "closed"
+        change = schedule.next_change(moment.timestamp())
+        until = f" until {datetime.fromtimestamp(change, schedule.zone):%Y-%m-%d %H:%M %Z}" if change else ""
+        click.echo(f"  schedule {schedule.name} is {state}{until}")
+    if found.route is not None:
+        tiers = [", ".join(f"{m.number} (weight {m.weight})" for m in tier) for tier in found.route.tiers]
+        click.echo(f"  servers: {'; then '.join(tiers)}")
+    click.echo(f"{found.verdict.value}{f': {found.reason}' if found.reason else ''}")
+    sys.exit(found.verdict is not Verdict.ROUTED)
+
+
 if __name__ == "__main__":
     main()
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -158,12 +158,14 @@
 
     def _choices(self, call: Call) -> list[Server]:
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
-        wanted, allowed = call.event.first_choice, call.klass.allowed
-        usable = [s for s in self.active if self._unmarked(s) and (allowed is None or s.number in allowed)]
+        wanted, listed = call.event.first_choice, call.event.candidates
+        usable = [s for s in self.active if self._unmarked(s) and self._may_take(call, s)]
         # Nor one that had no line for it twice: its attempts would all be burnt there within milliseconds.
         usable = [s for s in usable if s is not call.short or s.free >= 1]
         # After an error another server is asked: that tells whose fault it was.
         usable = [s for s in usable if s is not call.erred] or usable
+        if listed:  # a route list has an order of its own
+            return sorted(usable, key=lambda s: (self._replaced(s), listed.index(s.number)))
         others = [s for s in usable if s.number != wanted and not call.event.transit]
         # Servers differ twentyfold: each fills a part of the ring by its lines, or its free ones while it has
         # room, over its shortest set-up time: a slow processor may have lines for three times what it can do.
@@ -188,6 +190,10 @@
         order = [s for s in first if s not in short] + others[turn:] + others[:turn] + short
         return sorted(order, key=self._replaced)
 
+    def _may_take(self, call: Call, server: Server) -> bool:
+        listed, allowed = call.event.candidates, call.klass.allowed
+        return (allowed is None or server.number in allowed) and (not listed or server.number in listed)
+
     def _replaced(self, server: Server) -> bool:
         """Whether a successor can do its work. Then it comes last: it will drain at any moment, and what
         stands there when it stops is cut.
@@ -209,7 +215,8 @@
         for server in choices:
             if self._ready(server) and (server is choices[0] or self._roomy(server)):
                 return self._send(call, server)
-        if not self.active or self.now >= min(call.aim_at, call.deadline) - call.klass.aim // 2:
+        able = any(self._may_take(call, s) for s in self.active)
+        if not able or self.now >= min(call.aim_at, call.deadline) - call.klass.aim // 2:
             return self._refuse(call)
         self.held[call.event.call] = call
 
--- a/wickstep/interface.py
+++ b/wickstep/interface.py
@@ -129,6 +129,7 @@
     first_choice: int  # number of the server of first choice
     repeat: bool = False  # the caller dialled again
     transit: bool = False  # handed over by another proxy: only the first choice will do
+    candidates: tuple[int, ...] = ()  # numbers of the servers it may go to, in order; none: any, as before
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickstep/net/__init__.py
+++ b/wickstep/net/__init__.py
@@ -24,6 +24,9 @@
     CONGESTED = "congested"  # refused: trying again is harmless
     FAILED = "failed"  # and whatever else a peer may name
     MALFORMED = "malformed"
+    INVALID_NUMBER = "invalid_number"  # the number called is none
+    UNALLOCATED = "unallocated"  # or none that leads anywhere
+    BARRED = "barred"  # or it may not be called from here
 
 
 class Note(Enum):
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -60,6 +60,9 @@
     Reason.MOOT: 102,
     Reason.FAILED: 31,  # normal, unspecified
     Reason.MALFORMED: 111,  # protocol error
+    Reason.INVALID_NUMBER: 28,
+    Reason.UNALLOCATED: 1,
+    Reason.BARRED: 21,  # call rejected
 }
 REASONS = {cause: reason for reason, cause in CAUSES.items()}
 NOTES = {"no_circuit": Note.NO_CIRCUIT, "overload": Note.OVERLOAD, "lines_busy": Note.LINES_BUSY}
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 from queue import Empty, SimpleQueue
-from typing import Any
+from typing import Any, Protocol
 
 import ujson
 
@@ -187,6 +187,7 @@
     deadline: int
     attempts: int = 0
     attempt: Attempt | None = None  # the one that is out, or stands
+    table: object = None  # of number analysis, as it was when the call was taken in
 
 
 class Floor:
@@ -224,6 +225,7 @@
     def __init__(self, floor: Floor) -> None:
         self.floor = floor
         self.ended: OrderedDict[int, tuple[int, bool]] = OrderedDict()  # id -> when, and whether answered
+        self.on_closed: Callable[[int], None] = lambda number: None  # a call is open no more
         self.unsent: deque[Release] = deque(maxlen=UNHEARD_MOST)  # no caller's connection was open
 
     def final(self, call: Call, message: Answer | Release, kind: str) -> bool:
@@ -251,6 +253,7 @@
         if self.floor.open.pop(call.wire, None) is None:
             return False
         self.floor.numbers.pop(call.number, None)
+        self.on_closed(call.number)
         call.caller.calls.pop(call.wire, None)
         self.floor.held -= len(call.set_up.description)
         call.set_up = replace(call.set_up, description=b"")  # it may stand for long, and needs it no more
@@ -778,17 +781,28 @@
             away = settings.max_retry_after // (NS * MS) if settings.heeds_retry_after else 0
             refusal = Release(call.wire, Reason.CONGESTED, stay_away_ms=away)
             self.book.final(call, refusal, "turned_away")
-            return
+        elif self.analyse is not None:
+            self.analyse(call)
+        else:
+            self.proceed(call)
+
+    def proceed(self, call: Call, candidates: tuple[int, ...] = ()) -> None:
+        """Hand a call to the controller, with the servers it may go to where its number was analysed."""
         self.route.tell(
             api.NewCall(
                 call=call.number,
                 klass=call.klass,
-                patience=(call.deadline - floor.now) * NS,
-                first_choice=call.set_up.first_choice,
+                patience=(call.deadline - self.floor.now) * NS,
+                first_choice=candidates[0] if candidates else call.set_up.first_choice,
                 repeat=call.set_up.repeat,
+                candidates=candidates,
             )
         )
 
+    def no_route(self, call: Call, reason: Reason) -> None:
+        """The number called leads nowhere: nothing was sent, and trying again would change nothing."""
+        self._end(call, Release(call.wire, reason), "no_route")
+
     def refused(self, action: api.Refuse) -> None:
         call = self.floor.numbers.get(action.call)
         if call is not None:
@@ -808,6 +822,7 @@
             self.give_up(attempt, Outcome.TIMEOUT if over else Outcome.CANCELLED)
 
     give_up: Callable[[Attempt, Outcome], None]
+    analyse: Callable[[Call], None] | None = None  # number analysis, where it is on
 
 
 class TakeIn:
@@ -955,10 +970,26 @@
         self.book.closed(link)
 
 
+class Numbers(Protocol):
+    """Number analysis, as the loop sees it."""
+
+    def start(self) -> None: ...
+    def call(self, call: Call) -> None: ...
+    def ended(self, number: int) -> None: ...
+    def deal(self, item: object) -> None: ...
+    def reload(self) -> None: ...
+    def counts(self) -> dict[str, int]: ...
+
+
 class Softswitch:
     """Builds the stages and turns the loop."""
 
-    def __init__(self, config: Config, reread: Callable[[], Config] | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        reread: Callable[[], Config] | None = None,
+        numbers: Callable[[Floor, Admit], Numbers] | None = None,
+    ) -> None:
         now = time.monotonic_ns() // NS
         self.reread = reread  # how the configuration is read again
         # Fixed once: a start that seemed to move would read as a restart.
@@ -970,6 +1001,9 @@
         self.relay = Relay(floor, self.route, self.send, self.book)
         self.admit = Admit(floor, self.route, self.book)
         self.admit.give_up = self.send.give_up
+        self.numbers = numbers(floor, self.admit) if numbers is not None else None
+        if self.numbers is not None:
+            self.admit.analyse, self.book.on_closed = self.numbers.call, self.numbers.ended
         self.take_in = TakeIn(floor, self.route, self.admit, self.send, self.relay, self.book)
         self.route.acts = {
             api.Send: self.send.send,
@@ -994,6 +1028,8 @@
         self.send.reader.start()
         self.send.watch()
         self.tidy()
+        if self.numbers is not None:
+            self.numbers.start()
         after, events = floor.config.known
         for event in events:
             self.list(event)
@@ -1040,6 +1076,8 @@
         whatever else has changed takes a restart.
         """
         floor = self.floor
+        if self.numbers is not None:
+            self.numbers.reload()
         try:
             config = self.reread() if self.reread else floor.config
         except Exception as trouble:  # whatever a half-written file brings about, serving goes on
@@ -1105,6 +1143,8 @@
                 self.send.failed(item)
             case Roster():
                 self.list(item)
+            case _ if self.numbers is not None:
+                self.numbers.deal(item)
 
     def from_caller(self, link: Link, message: Message) -> None:
         if link.leaving:
@@ -1202,6 +1242,7 @@
             "name": self.floor.config.name,
             "open": len(self.floor.open),
             **sorted_counts(self.floor.counts),
+            **(self.numbers.counts() if self.numbers is not None else {}),
         }
         print(ujson.dumps(counts), file=sys.stderr, flush=True)
 
--- a/wickstep/numbering/digits.py
+++ b/wickstep/numbering/digits.py
@@ -10,13 +10,14 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 MOST = 16  # digits; E.164 allows 15, private numbers of the platform have 16
 ALPHABET = "0123456789abcdef"
 VISUAL = str.maketrans("", "", " -.()")  # RFC 3966's visual separators, and the blank that people write
 WRITTEN_MOST = 64  # characters before the separators are taken out
-_NIBBLES = {character: value for value, character in enumerate(ALPHABET)}
+_WHOLE = re.compile(f"[{ALPHABET}]{{1,{MOST}}}").fullmatch
 
 
 class BadNumber(ValueError):
@@ -35,13 +36,13 @@
 
 def check(digits: str) -> str:
     """The same digits; raises BadNumber for none, too many, or what is none of them."""
+    if _WHOLE(digits):
+        return digits
     if not digits:
         raise BadNumber("empty")
     if len(digits) > MOST:
         raise BadNumber(f"{len(digits)} digits, {MOST} at most")
-    if any(character not in _NIBBLES for character in digits):
-        raise BadNumber("not all digits")
-    return digits
+    raise BadNumber("not all digits")
 
 
 @dataclass(slots=True, frozen=True)
