--- a/benchmarks/prefixes.py
+++ b/benchmarks/prefixes.py
@@ -11,11 +11,14 @@
 
 import random
 import statistics
+import subprocess
 import sys
+import tempfile
 import threading
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable
+from pathlib import Path
 
 from wickstep.numbering.index import PrefixIndex
 from wickstep.numbering.reader import read_table
@@ -105,12 +108,41 @@
     return ((prefix.encode().decode(), value) for prefix, value in table)
 
 
-def swap(size: int) -> None:
-    """Load a table of this size beside a loop, several times."""
+def source(size: int) -> tuple[str, bytes]:
+    """A table's settings and its list."""
     lots = random.Random(1)
     rows = "\n".join(f"{prefix},r{value % 50}" for prefix, value in entries(size, lots)).encode()
     routes = "".join(f' route "r{number}" {{ server {number % 3}; }}\n' for number in range(50))
-    text = f'numbering version="1" {{\n{routes} prefixes "all.csv" count={size}\n}}\n'
+    return f'numbering version="1" {{\n{routes} prefixes "all.csv" count={size}\n}}\n', rows
+
+
+def memory(size: int) -> None:
+    """What a process takes that reads a table, and reads it again while the first is in service."""
+    with tempfile.TemporaryDirectory() as folder:
+        text, rows = source(size)
+        path = Path(folder) / "numbers.kdl"
+        path.write_text(text)
+        path.with_name("all.csv").write_bytes(rows)
+        code = "import re, sys; from pathlib import Path; from wickstep.numbering import stage\n"
+        # The most that was resident since this program began: rusage would count its parent's, too.
+        code += "status = lambda: open('/proc/self/status').read()\n"
+        code += "most = lambda: int(re.search(r'VmHWM:\\s+(\\d+)', status())[1]) / 1024\n"
+        code += "start = most(); first = stage.load(Path(sys.argv[1])); once = most()\n"
+        code += "second = stage.load(Path(sys.argv[1])); print(start, once - start, most() - start)"
+        said = subprocess.run(
+            [sys.executable, "-c", code, str(path)], capture_output=True, text=True, check=True
+        )
+    start, once, twice = (float(word) for word in said.stdout.split())
+    print(
+        f"{size:>9} prefixes: {start:.0f} MB before, {once:.0f} MB more at most for the first table",
+        flush=True,
+    )
+    print(f"{'':>9} and {twice:.0f} MB more at most for the second beside it", flush=True)
+
+
+def swap(size: int) -> None:
+    """Load a table of this size beside a loop, several times."""
+    text, rows = source(size)
     over = threading.Event()
     took: list[float] = []
 
@@ -143,3 +175,4 @@
     for size in sizes:
         compare(size)
     swap(max(sizes))
+    memory(max(sizes))
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -509,3 +509,25 @@
         assert host.brain._ready(server) == quick
         host.brain.now += host.settings.ramp_time
         assert host.brain._ready(server)
+
+
+def test_a_route_list_names_who_may_take_a_call_and_in_which_order() -> None:
+    host = Host(servers=4, classes=(replace(BASIC, allowed=frozenset({0, 2, 3})),))
+    assert sent_to(host.call(1, first=3, candidates=(3, 1, 2))) == ["s3"]
+    assert sent_to(host.ended(1, "s3", api.Outcome.FULL)) == ["s2"]  # 1 is not the class's, 0 not the list's
+    host.brain.servers["s3"].mark_until = host.brain.servers["s2"].mark_until = host.now + SECOND
+    assert sent_to(host.call(2, first=3, candidates=(3, 2))) == []  # held, though s0 is free
+
+
+@pytest.mark.parametrize("candidates", [(7,), (1,)])
+def test_a_list_without_a_server_that_may_take_it_is_refused_at_once(candidates: tuple[int, ...]) -> None:
+    host = Host(servers=3, classes=(replace(BASIC, allowed=frozenset({0, 2})),))
+    assert isinstance(host.call(1, first=candidates[0], candidates=candidates)[-1], api.Refuse)
+
+
+def test_a_held_call_whose_list_loses_its_last_server_is_refused() -> None:
+    host = Host(servers=2)
+    host.brain.servers["s1"].mark_until = host.now + 10 * SECOND
+    assert not finals(host.call(1, first=1, candidates=(1,)))
+    host.listing(entry(1, api.ServerState.DRAINING), kind=api.ListKind.CHANGES)
+    assert finals(host.run(2 * T_M))
