Let each connection have its protocol, and releases go to the callers they belong to

Need: text speakers on the same stages; Link and Listener named the binary wire. A connection has a dialect that reads and writes; Malformed stands above all of them; releases of calls that stand go out only on connections of the same callers; a server may owe a word sooner than the call ends, and move it by a progress message.

--- a/tests/test_number_stories.py
+++ b/tests/test_number_stories.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from wickstep.net import Answer, Note, Reason, Release, ReleaseHeard, SetUp, codec
+from wickstep.net import Answer, Malformed, Note, Reason, Release, ReleaseHeard, SetUp
 from wickstep.net import softswitch as module
 from wickstep.net.softswitch import Config, Softswitch
 from wickstep.numbering import reader, stage
@@ -333,7 +333,7 @@
                     elif isinstance(message, Release) and message.call in out:
                         out.discard(message.call)
                         self.checker.ended(message.call, self.name, "given_up")
-        except (OSError, codec.Malformed):
+        except (OSError, Malformed):
             pass
         for call in out:
             self.checker.ended(call, self.name, "reset")
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -16,7 +16,7 @@
 import click
 
 from wickstep import __version__
-from wickstep.net import Message, Release, SetUp, Test, TestResult, codec, links, softswitch
+from wickstep.net import Malformed, Message, Release, SetUp, Test, TestResult, codec, links, softswitch
 
 if TYPE_CHECKING:
     from wickstep.numbering.table import Table
@@ -74,7 +74,7 @@
                         yield heard
                         if isinstance(heard, last):
                             return
-    except (OSError, ValueError, codec.Malformed) as trouble:
+    except (OSError, ValueError, Malformed) as trouble:
         raise click.ClickException(f"{to}: {trouble}") from trouble
     raise click.ClickException(f"{to}: the connection was closed")
 
--- a/wickstep/net/__init__.py
+++ b/wickstep/net/__init__.py
@@ -12,6 +12,10 @@
 from enum import Enum
 
 
+class Malformed(ValueError):
+    """A peer has sent what its protocol does not allow."""
+
+
 class Reason(Enum):
     """Why a set-up or a call was released."""
 
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -14,6 +14,7 @@
 from wickstep.net import (
     Answer,
     GroupState,
+    Malformed,
     Message,
     Note,
     Progress,
@@ -68,8 +69,22 @@
 NOTES = {"no_circuit": Note.NO_CIRCUIT, "overload": Note.OVERLOAD, "lines_busy": Note.LINES_BUSY}
 
 
-class Malformed(Exception):
-    """The peer has sent what the protocol does not allow."""
+class Binary:
+    """This protocol on one connection."""
+
+    def __init__(self) -> None:
+        self._splitter = Splitter()
+        self.begun, self.feed = self._splitter.begun, self._splitter.feed
+
+    @property
+    def size(self) -> int:
+        return self._splitter.size
+
+    def encode(self, message: Message) -> bytes:
+        return encode(message)
+
+    def bind(self, link: object) -> None:
+        pass  # all that is said here is said by the loop
 
 
 class Splitter:
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -17,12 +17,12 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from queue import SimpleQueue
-from typing import Any
+from typing import Any, Protocol
 
-from wickstep.net import Message, Release, codec
+from wickstep.net import Malformed, Message, Release, codec
 
 log = logging.getLogger(__name__)
 
@@ -97,11 +97,33 @@
 Inbox = SimpleQueue[Any]  # its put may be called in a signal handler, which queue.Queue's may not
 
 
+class Dialect(Protocol):
+    """The protocol of one connection: its reader feeds it, the loop has it encode. Neither may wait in it."""
+
+    @property
+    def size(self) -> int:
+        """Bytes of the message that was yielded last."""
+
+    def begun(self) -> bool:
+        """Whether a part of a message is there."""
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """What is whole now; raises Malformed, after which nothing on this connection can be trusted."""
+
+    def encode(self, message: Message) -> bytes:
+        """What a message is on the wire; empty if there is nothing to say."""
+
+    def bind(self, link: Link) -> None:
+        """The connection: what the protocol itself has to answer is written there."""
+
+
 class Link:
     """One connection. Made for a socket that is connected; `owner` means whatever the loop wants it to."""
 
-    def __init__(self, sock: socket.socket, inbox: Inbox, owner: Any) -> None:
+    def __init__(self, sock: socket.socket, inbox: Inbox, owner: Any, dialect: Dialect | None = None) -> None:
         self.owner = owner
+        self.dialect: Dialect = dialect or codec.Binary()
+        self.kin = ""  # whose connection it is, where a protocol tells: what stands with one is not another's
         self.sock = sock
         self.freed: Callable[[], None] = lambda: None  # called when the descriptor is free
         self.whole_ms = ANSWER_MS  # how long a message may take from its first byte
@@ -119,7 +141,6 @@
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
         self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
         self.shared = False  # read by the common reader
-        self._splitter = codec.Splitter()
         self._until = 0  # in milliseconds, when what has begun must be whole; 0: nothing has
         self._ahead = threading.Semaphore(AHEAD_MOST)
         self._came = self._taken = 0  # messages: the reader's count and the loop's
@@ -134,6 +155,7 @@
         # What the kernel holds for a peer that does not read is bounded like the outbox.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         sock.settimeout(None)
+        self.dialect.bind(self)
 
     def start(self, patience: float = 0.0) -> None:
         """Start the reader; raises RuntimeError if the machine has no thread left."""
@@ -141,10 +163,15 @@
 
     def send(self, message: Message) -> bool:
         """Write a message, or queue it; False on a closing connection or where the peer does not read."""
-        data = codec.encode(message)
+        return self.write(self.dialect.encode(message))
+
+    def write(self, data: bytes) -> bool:
+        """The same for bytes."""
         with self._lock:
             if self._last:
                 return False
+            if not data:
+                return True
             if not self._writing:
                 try:
                     data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
@@ -220,7 +247,7 @@
         except BlockingIOError:
             malformed = self._until > 0
             log.info("closing a connection: %s", "a message stops short" if malformed else "never spoke")
-        except codec.Malformed as trouble:
+        except Malformed as trouble:
             log.warning("closing a connection: %s", trouble)
             malformed = True
         except OSError:
@@ -236,7 +263,7 @@
                 return True
         except BlockingIOError:
             return True
-        except codec.Malformed as trouble:
+        except Malformed as trouble:
             log.warning("closing a connection: %s", trouble)
             malformed = True
         except OSError:
@@ -259,17 +286,17 @@
     def _digest(self, data: bytes) -> int:
         """Hand on what is whole; for how long the rest may take to come, in milliseconds, 0: for ever."""
         whole = False
-        for message in self._splitter.feed(data):
+        for message in self.dialect.feed(data):
             whole = True
-            self._hand_on(message, self._splitter.size)
+            self._hand_on(message, self.dialect.size)
             del message  # or it would be held here until the peer's next word
         now = time.monotonic_ns() // 1_000_000
-        if not self._splitter.begun():
+        if not self.dialect.begun():
             self._until = 0
         elif whole or not self._until:
             self._until = now + self.whole_ms
         elif now >= self._until:
-            raise codec.Malformed("a message that does not end")
+            raise Malformed("a message that does not end")
         return max(self._until - now, 1) if self._until else 0
 
     def _end(self, malformed: bool) -> None:
@@ -326,10 +353,16 @@
 
 
 class Listener:
-    """Accepts callers on one address, `most` at a time: others wait in the backlog until there is room."""
-
-    def __init__(self, where: str, inbox: Inbox, most: int) -> None:
-        self._inbox, self._room = inbox, threading.Semaphore(most)
+    """Accepts callers on one address while there is room, which several may share; others wait."""
+
+    def __init__(
+        self,
+        where: str,
+        inbox: Inbox,
+        room: threading.Semaphore,
+        speaks: Callable[[], Dialect] = codec.Binary,
+    ) -> None:
+        self._inbox, self._room, self._speaks = inbox, room, speaks
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._bind(address(where))
@@ -373,7 +406,7 @@
                 time.sleep(0.02)
                 continue
             try:
-                link = Link(sock, self._inbox, None)
+                link = Link(sock, self._inbox, None, self._speaks())
             except OSError:
                 sock.close()  # gone already
                 self._room.release()
@@ -427,13 +460,15 @@
                     self._links = [link for link in self._links if link not in ended]
 
 
-def dial(where: str, timeout_us: int, inbox: Inbox, owner: Any, reader: Reader) -> None:
+def dial(
+    where: str, timeout_us: int, inbox: Inbox, owner: Any, reader: Reader, dialect: Dialect | None = None
+) -> None:
     """Connect aside. The loop is told `Opened` or `DialFailed`."""
 
     def connect() -> None:
         try:
             sock = socket.create_connection(address(where), timeout=timeout_us / 1e6)
-            link = Link(sock, inbox, owner)
+            link = Link(sock, inbox, owner, dialect)
         except Exception as trouble:  # whatever it was, the loop must hear of it, or it waits for ever
             inbox.put(DialFailed(owner, isinstance(trouble, ConnectionRefusedError)))
             return
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -13,6 +13,7 @@
 import logging
 import os
 import sys
+import threading
 import time
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterator, Mapping
@@ -152,6 +153,8 @@
     born: int  # 0: long ago
     link: Link | None = None
     linked_at: int = 0  # when that connection came up
+    reply_us: int = 0  # how soon a word about a set-up is owed, where the protocol has such a time
+    pending_us: int = 0  # and how much later after a word that it is at work
     usual: int = 0  # how long a set-up takes there, smoothed
     dialing: bool = False
     lost: bool = False  # the last connection broke, and none has come up since
@@ -170,7 +173,8 @@
     index: int
     server: Server
     sent_at: int
-    limit_at: int
+    last_at: int  # it is over then, whatever is said about it
+    limit_at: int  # and before that, where a server owes a word sooner
     link: Link | None = None  # None: still waiting for one
     stands: bool = False
 
@@ -226,7 +230,7 @@
         self.floor = floor
         self.ended: OrderedDict[int, tuple[int, bool]] = OrderedDict()  # id -> when, and whether answered
         self.on_closed: Callable[[int], None] = lambda number: None  # a call is open no more
-        self.unsent: deque[Release] = deque(maxlen=UNHEARD_MOST)  # no caller's connection was open
+        self.unsent: deque[tuple[str, Release]] = deque(maxlen=UNHEARD_MOST)  # whose, where none was open
 
     def final(self, call: Call, message: Answer | Release, kind: str) -> bool:
         """The final answer; False if the call has had it."""
@@ -259,10 +263,11 @@
         call.set_up = replace(call.set_up, description=b"")  # it may stand for long, and needs it no more
         return True
 
-    def released(self, release: Release, caller: Link | None) -> None:
-        """Release a call that stood, on its own connection or any other from callers."""
+    def released(self, release: Release, caller: Link | None, kin: str = "") -> None:
+        """Release a call that stood, on its own connection or any other from the same callers."""
         self.remember(release.call)
-        for link in self._towards(caller):
+        kin = caller.kin if caller is not None else kin
+        for link in self._towards(caller, kin):
             if link.leaving:
                 continue
             if not link.closed and link.send(release):
@@ -273,14 +278,14 @@
                     del link.unheard[next(iter(link.unheard))]
                 self.floor.counts["releases_sent"] += 1
                 return
-        self.unsent.append(release)
+        self.unsent.append((kin, release))
 
-    def _towards(self, caller: Link | None) -> Iterator[Link]:
+    def _towards(self, caller: Link | None, kin: str) -> Iterator[Link]:
         """Connections of callers on which a release may go: its own first, and as a rule none after it."""
         if caller is not None:
             yield caller
         # On a stranger's connection a release may never be heard: those that had a call come first.
-        others = [*reversed(self.floor.speakers)]
+        others = [link for link in reversed(self.floor.speakers) if link.kin == kin]
         others.sort(key=lambda link: not link.had_call)
         yield from others
 
@@ -290,14 +295,15 @@
             return
         self.floor.speakers[link] = None
         for _ in range(len(self.unsent)):
-            self.released(self.unsent.popleft(), link)
+            kin, release = self.unsent.popleft()
+            self.released(release, link if link.kin == kin else None, kin)
 
     def closed(self, link: Link) -> None:
         """What a connection has not confirmed before its end goes out on another."""
         unheard, link.unheard = link.unheard, {}
         for release in unheard.values():
             self.floor.counts["releases_sent_again"] += 1
-            self.released(release, None)
+            self.released(release, None, link.kin)
 
     def remember(self, wire: int, answered: bool = True) -> None:
         now = self.floor.now
@@ -398,7 +404,8 @@
             call.attempts,
             server or Server(action.server, "", -1, ServerState.GONE, 0),
             now,
-            min(now + max(action.limit // NS, 1), call.deadline),
+            last_at := min(now + max(action.limit // NS, 1), call.deadline),
+            min(last_at, now + server.reply_us) if server is not None and server.reply_us else last_at,
         )
         call.attempts += 1
         if (
@@ -416,7 +423,7 @@
 
     def _write(self, attempt: Attempt) -> None:
         server, call = attempt.server, attempt.call
-        wait_ms = max((attempt.limit_at - self.floor.now) // MS, 1)
+        wait_ms = max((attempt.last_at - self.floor.now) // MS, 1)
         onward = SetUp(call.wire, call.set_up.klass, wait_ms, call.set_up.number, call.set_up.description)
         if server.link is not None and server.link.send(onward):
             attempt.link = server.link
@@ -455,9 +462,16 @@
 
     def expire(self, number: int, index: int) -> None:
         attempt = self._out(number, index)
-        if attempt is not None:
+        if attempt is not None and self.floor.now >= attempt.limit_at:  # else it has been moved
             self.give_up(attempt, Outcome.TIMEOUT)
 
+    def moved(self, server: Server, link: Link, message: Progress) -> None:
+        """A server that owes a word says that it is at work: it may take longer, though not than the call."""
+        attempt = server.attempts.get(message.call)
+        if server.pending_us and attempt is not None and not attempt.stands and attempt.link is link:
+            attempt.limit_at = min(attempt.last_at, self.floor.now + server.pending_us)
+            self.floor.at(attempt.limit_at, partial(self.expire, attempt.call.number, attempt.index))
+
     def cancel(self, action: api.Cancel) -> None:
         attempt = self._out(action.call, action.attempt)
         if attempt is not None:
@@ -1015,7 +1029,8 @@
             api.Message: lambda action: None,  # softswitches share nothing
             api.FollowList: lambda action: None,  # the bulletin client follows it anyhow
         }
-        self.listener = links.Listener(config.listen, floor.inbox, floor.callers_most + SPARE)
+        self.room = threading.Semaphore(floor.callers_most + SPARE)
+        self.listener = links.Listener(config.listen, floor.inbox, self.room)
         self.bulletin: bulletin.Client | None = None
         self.stop_asked = False
         self.reload_asked = False
@@ -1182,6 +1197,8 @@
                 elif figures:
                     report = self.route.report(figures)
                     self.route.tell(api.ProbeAnswered(server.host, True, 0, report))
+            case Progress():
+                self.send.moved(server, link, message)
             case SetUp() | Test():
                 self.floor.counts["malformed"] += 1  # a server that talks like a caller
                 link.close()
