Answer operators on a second address, count what is served, drain on PAUSE

Checked and ruled out: the figures as they are (SIGUSR1) name no class; the loop's own inbox as the way to ask is behind by the backlog just when it matters (a test holds the loop for 1.5 s).

Change: wickstep/operation/ (states, drain plans, figures and the words of the calls without I/O; a front on a thread of its own; the hook into the loop); commands status, metrics, pause, resume; callers are accepted on the inherited descriptor where there is one. The reading of settings moves out of the simulator's adapter.

--- /dev/null
+++ b/tests/test_operation_stories.py
@@ -0,0 +1,260 @@
+"""Stories at the operators' address: a whole softswitch, its callers, and operators who ask or misbehave."""
+
+from __future__ import annotations
+
+import os
+import re
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+from click.testing import CliRunner
+
+from wickstep.__main__ import NOBODY, main
+from wickstep.net import Answer, Note, Reason, Release, SetUp, Test, TestResult, links
+from wickstep.net import softswitch as module
+from wickstep.operation import draining, front
+from wickstep.operation.mode import State
+
+from .test_softswitch import PATIENCE, Peer, Server, Town, line, stands, wait_for
+
+HOW = ("succeeded", "declined", "aborted")
+
+
+class Manned(Town):
+    """A softswitch with an operators' address."""
+
+    @property
+    def operators(self) -> str:
+        assert self.switch is not None
+        assert self.switch.operation.front is not None
+        host, port = self.switch.operation.front.where
+        return f"{host}:{port}"
+
+    def ask(self, call: str) -> list[str]:
+        return front.ask(self.operators, call, PATIENCE)
+
+    def figure(self, pattern: str) -> int:
+        found = [re.fullmatch(pattern + r" (\d+)", line) for line in self.ask("METRICS")]
+        return next(int(match.group(1)) for match in found if match)
+
+    def ready(self, peer: Peer) -> bool:
+        peer.say(Test(9))
+        result = peer.hear(TestResult, 9)
+        assert isinstance(result, TestResult)
+        return result.passed
+
+
+@pytest.fixture
+def town(monkeypatch: pytest.MonkeyPatch) -> Iterator[Manned]:
+    monkeypatch.setattr(module, "NOTICE", 0)
+    monkeypatch.setenv("ROUTER_OPERATOR", "127.0.0.1:0")
+    made = Manned()
+    yield made
+    made.stop()
+    assert made.switch is not None
+    assert made.switch.floor.counts["faults"] == 0
+
+
+One = tuple[Manned, Server, Peer, Peer]
+
+
+@pytest.fixture
+def one(town: Manned) -> One:
+    server = Server()
+    town.open(line(server, "s-1"))
+    return town, server, server.accept(), town.caller()
+
+
+def test_status_says_whether_a_set_up_server_is_known(town: Manned) -> None:
+    town.open()
+    assert town.ask("STATUS")[0].startswith("FAILURE starting")
+    server = Server()
+    town.bulletin.tell(line(server, "s-1"), whole=True)
+    wait_for(lambda: town.ask("STATUS") == ["SUCCESS serving"])
+
+
+def test_each_request_counts_once_by_class_and_disposition(one: One) -> None:
+    town, _, trunk, caller = one
+    stands(town, trunk, caller)
+    failed = town.call(caller)
+    for _ in range(2):
+        trunk.hear(SetUp, failed)
+        trunk.say(Release(failed, Reason.FAULT))
+    caller.hear(Release, failed)
+    refused = town.call(caller, klass="video")
+    trunk.hear(SetUp, refused)
+    assert town.figure("svc_outstanding") == 1
+    trunk.say(Release(refused, Reason.BUSY, Note.LINES_BUSY))
+    caller.hear(Release, refused)
+    left = town.call(caller)  # its caller hears no end of it: no disposition
+    trunk.hear(SetUp, left)
+    caller.say(Release(left, Reason.CLEARED), SetUp(0xBAD, "voice", 0, "7", b"offer"))  # no wait: nonsense
+    caller.hear(Release, 0xBAD)
+    assert [town.figure(f'svc_results{{service="voice",disposition="{how}"}}') for how in HOW] == [1, 0, 2]
+    assert [town.figure(f'svc_results{{service="video",disposition="{how}"}}') for how in HOW] == [0, 1, 0]
+    assert town.figure("svc_forwards") == 5
+    assert town.figure("svc_outstanding") == 0
+    assert town.figure("svc_discovered") == 1
+    assert town.ask("METRICS")[-1] == "EOT"
+
+
+def test_a_server_that_is_passed_over_is_ejected(one: One) -> None:
+    town, _, trunk, caller = one
+    assert town.figure("svc_ejected") == 0
+    call = town.call(caller)
+    for _ in range(2):
+        trunk.hear(SetUp, call)
+        trunk.say(Release(call, Reason.FULL, Note.OVERLOAD))
+    wait_for(lambda: town.figure("svc_ejected") == 1)
+
+
+def test_paused_it_answers_what_it_has_and_sends_callers_away(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(draining, "STRANGER", 0)
+    town, _, trunk, busy = one
+    idle, tester = town.caller(), town.caller()
+    stands(town, trunk, idle)
+    call = town.call(busy)
+    trunk.hear(SetUp, call)
+    assert town.ready(tester)
+    assert town.ask("PAUSE") == ["SUCCESS draining"]
+    assert town.ask("PAUSE") == ["SUCCESS drained already"]
+    assert not town.ready(tester)
+    assert town.ask("STATUS") == ["FAILURE paused"]
+    assert idle.ends()
+    trunk.say(Answer(call, b"accept"))
+    busy.hear(Answer, call)  # what was taken is served,
+    assert busy.ends()  # and then its connection goes
+    newcomer = town.caller()
+    late = town.call(newcomer)
+    trunk.hear(SetUp, late)  # it has come before the front knew
+    trunk.say(Answer(late, b"accept"))
+    newcomer.hear(Answer, late)
+    assert town.ask("RESUME") == ["SUCCESS serving"]
+    assert town.ready(town.caller())
+    stands(town, trunk, town.caller())
+
+
+def test_a_busy_connection_comes_to_rest_while_paused(one: One, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(draining.PLANS, State.PAUSED, draining.Plan(0, 0))
+    town, _, trunk, busy = one
+    call = town.call(busy)
+    trunk.hear(SetUp, call)
+    town.ask("PAUSE")
+    assert town.switch is not None
+    wait_for(lambda: town.switch is not None and town.switch.operation.seen is State.PAUSED)
+    refused = busy.hear(Release, town.call(busy))
+    assert refused.reason is Reason.CONGESTED
+    assert refused.stay_away_ms > 0
+    trunk.say(Answer(call, b"accept"))
+    busy.hear(Answer, call)
+    assert busy.ends()
+
+
+def test_a_pause_is_no_bar_to_a_stop(one: One) -> None:
+    town, *_ = one
+    town.ask("PAUSE")
+    town.stop()
+
+
+@pytest.mark.parametrize(
+    ("heard", "said"),
+    [
+        (b"DANCE\n", b"FAILURE unknown"),
+        (b"\xff\xfe\n", b"FAILURE no text"),
+        (b"x" * 5000, b"FAILURE a line of more"),
+        (b"STAT", b"FAILURE no whole line"),
+        (b"", b"FAILURE no whole line"),
+    ],
+)
+def test_bad_calls_are_refused_in_time(
+    one: One, monkeypatch: pytest.MonkeyPatch, heard: bytes, said: bytes
+) -> None:
+    monkeypatch.setattr(front, "LINE_S", 0.3)
+    town, *_ = one
+    with socket.create_connection(links.address(town.operators), timeout=PATIENCE) as sock:
+        sock.sendall(heard)
+        assert sock.recv(200).startswith(said)
+    assert town.ask("STATUS") == ["SUCCESS serving"]
+
+
+def test_hundreds_that_stay_keep_nobody_from_an_answer(one: One) -> None:
+    town, _, trunk, _ = one
+    where = links.address(town.operators)
+    staying = [socket.create_connection(where, timeout=PATIENCE) for _ in range(300)]
+    try:
+        for sock in staying[::2]:
+            sock.send(b"STAT")
+        before = time.monotonic()
+        assert town.ask("STATUS") == ["SUCCESS serving"]
+        assert time.monotonic() - before < 1
+        assert town.switch is not None
+        assert town.switch.operation.front is not None
+        assert len(town.switch.operation.front._visitors) <= front.HELD_MOST
+        stands(town, trunk, town.caller())
+    finally:
+        for sock in staying:
+            sock.close()
+
+
+def test_the_answer_does_not_wait_for_the_loop(one: One) -> None:
+    town, *_ = one
+    assert town.switch is not None
+    held = town.switch.floor
+    held.at(held.now, lambda: time.sleep(1.5))  # the loop is busy
+    time.sleep(0.3)
+    before = time.monotonic()
+    assert town.ask("STATUS") == ["SUCCESS serving"]
+    assert town.ask("METRICS")[-1] == "EOT"
+    assert town.ask("PAUSE") == ["SUCCESS draining"]
+    assert town.ask("STATUS") == ["FAILURE paused"]
+    assert time.monotonic() - before < 1
+
+
+def test_without_an_address_nothing_listens(town: Manned, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("ROUTER_OPERATOR")
+    town.open(line(Server(), "s-1"))
+    assert town.switch is not None
+    assert town.switch.operation.front is None
+
+
+def test_the_commands_say_it_by_exit_code(one: One) -> None:
+    town, *_ = one
+    run = CliRunner()
+    asked = {"ROUTER_OPERATOR": town.operators}
+    for command, code, text in [
+        ("status", 0, "serving"),
+        ("metrics", 0, 'svc_results{service="voice",disposition="succeeded"} 0'),
+        ("pause", 0, "draining"),
+        ("status", 1, "paused"),
+        ("resume", 0, "serving"),
+    ]:
+        result = run.invoke(main, [command], env=asked)
+        assert (result.exit_code, result.output.splitlines()[0]) == (code, text)
+    assert "EOT" not in run.invoke(main, ["metrics"], env=asked).output
+    nobody = Server()
+    nobody.sock.close()
+    assert run.invoke(main, ["status", "--at", nobody.dial]).exit_code == NOBODY
+
+
+def test_an_inherited_socket_is_shared_and_outlives_its_process(
+    town: Manned, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held = socket.create_server(("127.0.0.1", 0))
+    monkeypatch.setenv("ROUTER_ACCEPT_FD", str(os.dup(held.fileno())))
+    server = Server()
+    town.open(line(server, "s-1"))
+    trunk, caller = server.accept(), town.caller()
+    assert caller.sock.getpeername() == held.getsockname()
+    stands(town, trunk, caller)
+    assert town.switch is not None
+    town.switch.listener.close()
+    wait_for(lambda: town.switch is not None and town.switch.listener._sock.fileno() < 0)
+    left = socket.create_connection(held.getsockname(), timeout=PATIENCE)  # it waits there for a successor
+    held.settimeout(PATIENCE)
+    held.accept()[0].close()
+    left.close()
+    held.close()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from wickstep import benchlink
+from wickstep import benchlink, settings
 from wickstep import interface as api
 
 ROOT = Path(__file__).parent.parent
@@ -118,14 +118,14 @@
     conf = json.loads(json.dumps(CONF))
     del (conf[section] if section else conf)[key]
     with pytest.raises(ValueError, match=key):
-        benchlink.read_settings(conf)
+        settings.read_settings(conf)
 
 
 def test_a_setting_out_of_range_is_named() -> None:
     conf = json.loads(json.dumps(CONF))
     conf["rules"]["cold_from"] = 1.5
     with pytest.raises(ValueError, match="cold_from"):
-        benchlink.read_settings(conf)
+        settings.read_settings(conf)
 
 
 @pytest.mark.parametrize(
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -162,6 +162,75 @@
         raise click.ClickException(f"{path} is no table\n{told}") from trouble
 
 
+NOBODY = 3  # exit code where no softswitch answers at the operators' address
+OPERATOR = click.option(
+    "--at",
+    "where",
+    envvar="ROUTER_OPERATOR",
+    default="127.0.0.1:5081",
+    show_default=True,
+    help="The operators' address of the softswitch; by default the one that ROUTER_OPERATOR names.",
+)
+
+
+def operate(where: str, asked: str) -> list[str]:
+    """Ask at the operators' address; ends with `NOBODY` where no answer comes."""
+    from wickstep.operation import front
+
+    try:
+        lines = front.ask(where, asked)
+    except (OSError, ValueError) as trouble:
+        click.echo(f"{where}: {trouble}", err=True)
+        sys.exit(NOBODY)
+    if not lines:
+        click.echo(f"{where}: closed without an answer", err=True)
+        sys.exit(NOBODY)
+    return lines
+
+
+def say_and_leave(where: str, asked: str) -> None:
+    """Print the reply; exit code 0 if it says yes, 1 if no."""
+    from wickstep.operation import calls
+
+    word, _, text = operate(where, asked)[0].partition(" ")
+    click.echo(text or word)
+    sys.exit(word != calls.SUCCESS)
+
+
+@main.command()
+@OPERATOR
+def status(where: str) -> None:
+    """Whether a running softswitch is ready; exit code 0 yes, 1 no, 3 nobody answers."""
+    say_and_leave(where, "STATUS")
+
+
+@main.command()
+@OPERATOR
+def pause(where: str) -> None:
+    """Drain a running softswitch: callers are sent elsewhere, it keeps running."""
+    say_and_leave(where, "PAUSE")
+
+
+@main.command()
+@OPERATOR
+def resume(where: str) -> None:
+    """Let a drained softswitch take callers again."""
+    say_and_leave(where, "RESUME")
+
+
+@main.command()
+@OPERATOR
+def metrics(where: str) -> None:
+    """Print the figures of a running softswitch, see docs/on-call.md."""
+    from wickstep.operation import calls
+
+    lines = operate(where, "METRICS")
+    if lines[-1] != calls.END:
+        click.echo(f"{where}: {lines[0]}", err=True)
+        sys.exit(1)
+    click.echo("\n".join(lines[:-1]))
+
+
 @main.group()
 def numbers() -> None:
     """Look at a table of number analysis."""
--- a/wickstep/benchlink.py
+++ b/wickstep/benchlink.py
@@ -10,16 +10,12 @@
 import json
 import sys
 from collections.abc import Callable, Iterable
-from typing import Any, TextIO
+from typing import TextIO
 
 from wickstep import interface as api
 from wickstep.brain import Controller
+from wickstep.settings import REPORT_FIELDS, read_settings
 
-EFFECTS = {
-    "read_like": api.Effect.SAFE,
-    "idempotency_key": api.Effect.KEYED,
-    "non_idempotent": api.Effect.UNSAFE,
-}
 CONDITIONS = {
     "active": api.ServerState.ACTIVE,
     "leaving": api.ServerState.DRAINING,
@@ -41,13 +37,6 @@
     444: api.Outcome.CANCELLED,
     409: api.Outcome.MOOT,
 }
-REPORT_FIELDS = {
-    "avg_ms": "wait_ms",
-    "waiting": "waiting",
-    "can_take": "can_take",
-    "free": "free",
-    "size": "lines",
-}
 OK = 200
 NOTE_NO_LINE, NOTE_CALLEE_BUSY = 1, 4
 
@@ -56,55 +45,6 @@
     """A line that the wire does not allow."""
 
 
-def read_settings(conf: dict[str, Any]) -> api.Settings:
-    """Translate the first message's settings; unknown keys are skipped."""
-    info, limits, rules = (_section(conf, name) for name in ("family_info", "limits", "rules"))
-    pools = info.get("allowed_pools")
-    lengths = info.get("call_length_ns")
-    classes = []
-    for position, item in enumerate(_need(conf, "classes", "classes")):
-        classes.append(
-            api.CallClass(
-                aim=int(_need(item, "slo_ns", "classes[].slo_ns")),
-                worth=float(_need(item, "credit", "classes[].credit")),
-                late_worth=float(item.get("late_value") or 0.0),
-                effect=EFFECTS.get(str(item.get("effect")), api.Effect.UNSAFE),
-                allowed=frozenset(int(n) for n in pools[position]) if pools else None,
-                length=int(lengths[position]) if lengths else 0,
-            )
-        )
-    return api.Settings(
-        classes=tuple(classes),
-        proxies=int(_need(conf, "peers_total", "peers_total")),
-        max_attempts=int(_need(limits, "attempts_cap", "limits.attempts_cap")),
-        max_retry_after=int(limits.get("max_retry_after_ns") or 0),
-        retransmit=int(info.get("retransmit_ns") or 0),
-        release_wait=int(_need(info, "release_ns", "family_info.release_ns")),
-        drain_grace=int(_need(rules, "drain_grace_ns", "rules.drain_grace_ns")),
-        cold_from=float(_need(rules, "cold_from", "rules.cold_from")),
-        ramp_time=int(_need(rules, "ramp_time_ns", "rules.ramp_time_ns")),
-        fall_multiple=float(_need(rules, "fall_multiple", "rules.fall_multiple")),
-        fall_window=int(_need(rules, "tip_after_ns", "rules.tip_after_ns")),
-        may_cancel=bool(limits.get("cancel")),
-        may_probe=bool(limits.get("probes")),
-        may_message=bool(limits.get("peers")),
-        heeds_retry_after=bool(limits.get("retry_after")),
-        list_on_request=conf.get("registry_mode") == "ask",
-        own_number=int(info.get("this_node", -1)),
-    )
-
-
-def _section(conf: dict[str, Any], name: str) -> dict[str, Any]:
-    found = conf.get(name)
-    return found if isinstance(found, dict) else {}
-
-
-def _need(where: dict[str, Any], key: str, name: str) -> Any:
-    if where.get(key) is None:
-        raise ValueError(f"setting {name}: missing")
-    return where[key]
-
-
 def read_report(text: str) -> dict[str, float]:
     report: dict[str, float] = {}
     if text == "-":
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -159,7 +159,7 @@
     def _choices(self, call: Call) -> list[Server]:
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
         wanted, listed = call.event.first_choice, call.event.candidates
-        usable = [s for s in self.active if self._unmarked(s) and self._may_take(call, s)]
+        usable = [s for s in self.active if self.unmarked(s) and self._may_take(call, s)]
         # Nor one that had no line for it twice: its attempts would all be burnt there within milliseconds.
         usable = [s for s in usable if s is not call.short or s.free >= 1]
         # After an error another server is asked: that tells whose fault it was.
@@ -236,7 +236,7 @@
         return not pressed and (server.free > 0 or not server.lines)
 
     def _serve_held(self, everyone: bool = False) -> None:
-        if not everyone and not any(self._unmarked(s) and self._ready(s) for s in self.active):
+        if not everyone and not any(self.unmarked(s) and self._ready(s) for s in self.active):
             return  # thousands may be held: nothing can go out, the next tick sees to those held too long
         for call in sorted(self.held.values(), key=self._worth, reverse=True):
             self._place(call)
@@ -481,7 +481,7 @@
 
     # Failing servers.
 
-    def _unmarked(self, server: Server) -> bool:
+    def unmarked(self, server: Server) -> bool:
         return server.mark_until <= self.now and not (server.fails >= SUSPECT and server.out)
 
     def _failed(self, server: Server) -> None:
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -40,6 +40,7 @@
 BIND_S = 3.0
 FIRST_MS = 2000  # a caller that has sent nothing at all by then is closed: hundreds connect and stay silent
 WHOLE_MS = 1500  # and so is one whose message, once begun, is not whole by then
+TURN_MS = 20  # how soon a thread at a shared socket sees that it has been told to leave
 LOOK_MS = 50  # how soon the common reader sees a new connection
 ANSWER_MS = 200  # the same for a server: what follows would be taken for the message's rest
 
@@ -67,6 +68,23 @@
             time.sleep(0.05)
 
 
+def bound(where: str) -> socket.socket:
+    """A socket at that address, to listen on; OSError if it is still another's after `BIND_S`."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # After a kill and a quick restart the predecessor's socket may be there for a moment still.
+    until = time.monotonic() + BIND_S
+    while True:
+        try:
+            sock.bind(address(where))
+            return sock
+        except OSError as trouble:
+            if trouble.errno != errno.EADDRINUSE or time.monotonic() > until:
+                sock.close()
+                raise
+            time.sleep(0.02)
+
+
 # What the threads tell the loop.
 
 
@@ -361,24 +379,20 @@
         inbox: Inbox,
         room: threading.Semaphore,
         speaks: Callable[[], Dialect] = codec.Binary,
+        inherited: int | None = None,
     ) -> None:
         self._inbox, self._room, self._speaks = inbox, room, speaks
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._bind(address(where))
+        self._shared = inherited is not None
+        self._closed = False
+        if inherited is None:
+            self._sock = bound(where)
+        else:
+            # Others accept on it too, before and after this process: who was told that a connection waits may
+            # find it gone, and must not be held by that until the next.
+            self._sock = socket.socket(fileno=inherited)
+            self._sock.setblocking(False)
         self._sock.listen(BACKLOG)
 
-    def _bind(self, where: tuple[str, int]) -> None:
-        # After a kill and a quick restart the predecessor's socket may be there for a moment still.
-        until = time.monotonic() + BIND_S
-        while True:
-            try:
-                return self._sock.bind(where)
-            except OSError as trouble:
-                if trouble.errno != errno.EADDRINUSE or time.monotonic() > until:
-                    raise
-                time.sleep(0.02)
-
     @property
     def where(self) -> tuple[str, int]:
         name: tuple[str, int] = self._sock.getsockname()
@@ -388,23 +402,42 @@
         spawn(self._accept)
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
-        self._sock.close()
+        """Accept nothing more: at once, or on a shared socket within `TURN_MS`, when its thread closes it."""
+        self._closed = True
+        if not self._shared:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+            self._sock.close()
+
+    def _next(self) -> socket.socket | None:
+        """A new connection. None: closed meanwhile, and what waits at a shared socket is its others'."""
+        if self._shared:
+            poll = select.poll()
+            poll.register(self._sock, select.POLLIN)
+            while not self._closed:
+                if poll.poll(TURN_MS) and not self._closed:
+                    with contextlib.suppress(BlockingIOError):
+                        return self._sock.accept()[0]
+            self._sock.close()
+            return None
+        return self._sock.accept()[0]
 
     def _accept(self) -> None:
         while True:
             self._room.acquire()
             try:
-                sock, _ = self._sock.accept()
+                sock = self._next()
             except OSError as trouble:
                 self._room.release()
-                if self._sock.fileno() < 0:
+                if self._closed:
                     return
                 # Out of descriptors or aborted by the peer: neither may end the accepting for good.
                 log.warning("accept: %s", trouble)
                 time.sleep(0.02)
                 continue
+            if sock is None:
+                return
+            sock.setblocking(True)
             try:
                 link = Link(sock, self._inbox, None, self._speaks())
             except OSError:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -25,7 +25,6 @@
 import ujson
 
 from wickstep import interface as api
-from wickstep.benchlink import REPORT_FIELDS, read_settings
 from wickstep.brain import Controller
 from wickstep.interface import Outcome, ServerState
 from wickstep.net import (
@@ -45,6 +44,10 @@
 )
 from wickstep.net.bulletin import Roster
 from wickstep.net.links import Came, Closed, DialFailed, Link, Opened
+from wickstep.operation.figures import Tally
+from wickstep.operation.mode import Event, Mode, State
+from wickstep.operation.service import Operation
+from wickstep.settings import REPORT_FIELDS, read_settings
 
 log = logging.getLogger(__name__)
 
@@ -112,6 +115,8 @@
     max_callers: int  # connections
     max_ended: int  # ended calls that are remembered
     dial_timeout: int
+    operator: str = ""  # the operators' address; empty: there is none
+    inherited: int | None = None  # descriptor of the callers' listening socket, where the platform holds it
 
     @classmethod
     def read(cls, text: str | bytes) -> Config:
@@ -139,6 +144,8 @@
             max_callers=min(int(sockets * CALLER_SHARE), memory_mb * CALLERS_PER_MB),
             max_ended=memory_mb * REMEMBERED_PER_MB,
             dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
+            inherited=int(os.environ["ROUTER_ACCEPT_FD"]) if os.environ.get("ROUTER_ACCEPT_FD") else None,
+            operator=os.environ.get("ROUTER_OPERATOR") or str(raw.get("operator") or ""),
         )
 
 
@@ -217,7 +224,9 @@
         ] = {}  # those on which a call was spoken of: the front's tests are none
         self.counts: Counter[str] = Counter()
         self.list_known = False
-        self.stopping_at = 0
+        self.mode = Mode()
+        self.stopping_at = 0  # when the state became one that ends
+        self.tally = Tally(tuple(config.classes))
 
     def at(self, due: int, do: Callable[[], None]) -> None:
         heapq.heappush(self.timers, (due, next(self.order), do))
@@ -237,6 +246,7 @@
         if not self._closed(call):
             return False
         self.floor.counts[f"answered_{kind}"] += 1
+        self.floor.tally.ended(call.klass, kind)
         log.info("%016x answered: %s", call.wire, kind)
         if isinstance(message, Answer):
             call.caller.had_call = True
@@ -787,7 +797,7 @@
 
     def call(self, call: Call) -> None:
         floor = self.floor
-        late = floor.stopping_at and floor.now > floor.stopping_at + NOTICE
+        late = self.leaves()
         full = len(floor.open) > floor.config.max_open or floor.held > floor.config.max_held
         if late or full:
             # When to come back, where callers are told that: the same caller at once again helps nobody.
@@ -836,6 +846,7 @@
             self.give_up(attempt, Outcome.TIMEOUT if over else Outcome.CANCELLED)
 
     give_up: Callable[[Attempt, Outcome], None]
+    leaves: Callable[[], bool]  # whether newcomers are sent away: drained, or about to end
     analyse: Callable[[Call], None] | None = None  # number analysis, where it is on
 
 
@@ -904,6 +915,8 @@
         """
         log.info("a set-up with %s", trouble)
         self.floor.counts["answered_malformed"] += 1
+        if message.klass in self.floor.config.classes:
+            self.floor.tally.ended(self.floor.config.classes[message.klass], "malformed")
         if message.call in link.calls:
             self.drop(link)
             return
@@ -974,7 +987,7 @@
 
     def test(self, link: Link, message: Test) -> None:
         floor = self.floor
-        link.send(TestResult(message.call, floor.list_known and not floor.stopping_at))
+        link.send(TestResult(message.call, floor.list_known and floor.mode.state is State.SERVING))
 
     def closed(self, link: Link) -> None:
         self.floor.callers.pop(link, None)
@@ -1019,6 +1032,8 @@
         if self.numbers is not None:
             self.admit.analyse, self.book.on_closed = self.numbers.call, self.numbers.ended
         self.take_in = TakeIn(floor, self.route, self.admit, self.send, self.relay, self.book)
+        self.operation = Operation(floor, self.take_in)
+        self.admit.leaves = self.operation.refuses
         self.route.acts = {
             api.Send: self.send.send,
             api.Refuse: self.admit.refused,
@@ -1030,7 +1045,7 @@
             api.FollowList: lambda action: None,  # the bulletin client follows it anyhow
         }
         self.room = threading.Semaphore(floor.callers_most + SPARE)
-        self.listener = links.Listener(config.listen, floor.inbox, self.room)
+        self.listener = links.Listener(config.listen, floor.inbox, self.room, inherited=config.inherited)
         self.bulletin: bulletin.Client | None = None
         self.stop_asked = False
         self.reload_asked = False
@@ -1051,11 +1066,13 @@
         self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put)
         self.bulletin.start()
         self.listener.start()
+        self.operation.start()
         while not self._finished():
             self.turn()
         for number in list(floor.numbers):
             self.take_in.overdue(number)  # better a failure now than silence at the kill
         self.listener.close()
+        self.operation.stop()
         self._flush()
         self.print_counts()
 
@@ -1075,11 +1092,13 @@
             self.guard(partial(self.deal, item))
         while floor.timers and floor.timers[0][0] <= floor.now:
             self.guard(heapq.heappop(floor.timers)[2])
-        if self.stop_asked and not floor.stopping_at:
+        if self.stop_asked and floor.mode.tell(Event.TERM).granted:
             floor.stopping_at = floor.now
         if self.reload_asked:
             self.reload_asked = False
-            self.guard(self.reload)
+            if floor.mode.tell(Event.HANGUP).granted:
+                self.guard(self.reload)
+        self.guard(self.operation.turn)
         if self.counts_asked:
             self.counts_asked = False
             self.print_counts()
