--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -48,6 +48,7 @@
 IDLE = Connection(calls=0, unread=False, caller=True, tester=False, quiet=0)
 BUSY = Connection(calls=1, unread=False, caller=True, tester=False, quiet=9 * SECOND)
 SPEAKING = Connection(calls=0, unread=True, caller=True, tester=False, quiet=0)
+LAST = Connection(calls=0, unread=False, caller=True, tester=False, quiet=0, last=True)
 NEW = Connection(calls=0, unread=False, caller=False, tester=False, quiet=100 * MS)
 SILENT = Connection(calls=0, unread=False, caller=False, tester=False, quiet=draining.STRANGER)
 FRONT = Connection(calls=0, unread=False, caller=False, tester=True, quiet=draining.STRANGER)
@@ -61,6 +62,8 @@
         (State.PAUSED, 0, IDLE, False),  # the front has not heard: its callers would only come again
         (State.PAUSED, draining.FRONT_TOLD, IDLE, True),
         (State.PAUSED, 9 * SECOND, BUSY, False),
+        (State.PAUSED, 3 * SECOND, LAST, False),
+        (State.PAUSED, draining.LAST_MOST, LAST, True),
         (State.PAUSED, 9 * SECOND, SPEAKING, False),
         (State.PAUSED, SECOND, NEW, False),
         (State.PAUSED, SECOND, SILENT, True),
--- a/wickstep/operation/figures.py
+++ b/wickstep/operation/figures.py
@@ -43,7 +43,7 @@
 
 RESULTS = Figure("results", "requests by class (service) and disposition: succeeded, declined, aborted")
 FORWARDS = Figure("forwards", "attempts written whole to setup servers")
-OUTSTANDING = Figure("outstanding", "requests taken that wait for their final answer now")
+OUTSTANDING = Figure("outstanding", "requests taken that are not ended: their answer is owed, or they stand")
 DISCOVERED = Figure("discovered", "setup servers on the list")
 EJECTED = Figure("ejected", "setup servers on the list that are avoided now")
 FIGURES = (RESULTS, FORWARDS, OUTSTANDING, DISCOVERED, EJECTED)
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -64,10 +64,15 @@
         self.looks_at = floor.now + draining.LOOK_EVERY
         floor.at(self.looks_at, self.send_away)
         since = floor.now - self.since
-        for link in [link for link in floor.callers if not link.leaving]:
+        here = [link for link in floor.callers if not link.leaving]
+        standing = {attempt.call.caller for attempt in floor.standing.values()}
+        # A call whose own connection has gone is released on another: the last one stays for those.
+        last = [link for link in here if link in floor.speakers][-1:] if not standing <= {*here} else []
+        for link in here:
             connection = Connection(
-                calls=len(link.calls),
+                calls=len(link.calls) + (link in standing),
                 unread=not link.calls and link.unread(),
+                last=link in last,
                 caller=link in floor.speakers,
                 tester=link.spoke,
                 quiet=floor.now - link.heard_at,
@@ -107,7 +112,7 @@
             floor.tally,
             {
                 figures.FORWARDS: floor.counts["set_ups_sent"],
-                figures.OUTSTANDING: len(floor.open),
+                figures.OUTSTANDING: len(floor.open) + len(floor.standing),
                 figures.DISCOVERED: self.discovered,
                 figures.EJECTED: self.ejected,
             },
