Hand over between two processes: one part for both, what was learned, calls that stand

Change: wickstep/operation/beside.py (who is there, by a lock in a shared folder), bequest.py (calls and releases that are left), wickstep/recovery/ (files that tell whether they are whole, records with a law of age). SIGTERM means handing over where a ready successor is there. Nothing of it runs without an inherited descriptor.

Tests: two real processes on an inherited socket under load, killed and stalled at five points of the handover, a folder spoilt in five ways; files cut and flipped at every byte. They found that the new process never said that it was ready, and releases that were lost with the old process' last connections (7 of some hundred; now said again on a new one).

--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -44,6 +44,8 @@
 )
 from wickstep.net.bulletin import Roster
 from wickstep.net.links import Came, Closed, DialFailed, Link, Opened
+from wickstep.operation.bequest import Bequest
+from wickstep.operation.beside import Departed
 from wickstep.operation.figures import Tally
 from wickstep.operation.mode import Event, Mode, State
 from wickstep.operation.service import Operation
@@ -72,6 +74,7 @@
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
 STOP_AFTER = 400 * MS  # and the kill no sooner than the longest deadline, or this much of it, and 0.7 s:
 STOP_MOST = 3 * SECOND  # what is open after deadline and STOP_AFTER is answered first
+HAND_OVER_MOST = 5 * SECOND  # the same where a successor is there: its platform waits for longer
 OPEN_PER_MB = 30  # calls that may wait at once, by the memory there is
 HELD_PART = 16  # and of the memory their descriptions may fill one part in so many: each may be of 16 KiB
 NUMBER_MOST = 255  # characters of a number called: it is kept as long as its call
@@ -207,6 +210,8 @@
     def __init__(self, config: Config, now: int) -> None:
         self.config = config
         self.now = self.started_at = now
+        # Fixed once: a start that seemed to move would read as a restart.
+        self.unix_at_zero = time.time_ns() // NS - now
         self.inbox: links.Inbox = SimpleQueue()
         self.timers: list[tuple[int, int, Callable[[], None]]] = []
         self.order = itertools.count()
@@ -227,6 +232,7 @@
         self.mode = Mode()
         self.stopping_at = 0  # when the state became one that ends
         self.tally = Tally(tuple(config.classes))
+        self.bequest = Bequest()
 
     def at(self, due: int, do: Callable[[], None]) -> None:
         heapq.heappush(self.timers, (due, next(self.order), do))
@@ -670,6 +676,9 @@
         lost = [a for a in server.attempts.values() if a.sent_at <= before and a not in server.waiting]
         if lost:
             log.warning("%s (%s): %s; %d calls", server.host, server.state.value, why, len(lost))
+        for wire in self.floor.bequest.of(server.host):
+            self.floor.counts["calls_cut"] += 1
+            self.book.released(Release(wire, Reason.INTERRUPTED), None)
         for attempt in lost:
             self.drop(attempt)
             if attempt.stands:
@@ -691,7 +700,7 @@
         Each is work of a processor that is late already: two hundred that ask after one slow set-up each,
         again and again, take more of it than the calls do.
         """
-        settings, now = self.floor.config.settings, self.floor.now
+        settings, now = self.route.controller.settings, self.floor.now
         flow = PROBES_A_SERVER * max(len(self.floor.servers), 1) / settings.proxies
         self.probes_left = min(PROBES_SAVED, self.probes_left + flow * (now - self.probes_at) / SECOND)
         self.probes_at = now
@@ -751,7 +760,7 @@
         if attempt is None:
             if message.call in self.book.ended or message.call in self.floor.open:
                 self.floor.counts["strays"] += 1  # a server repeats its own
-            elif self.book.inherited():
+            elif self.floor.bequest.take(message.call) or self.book.inherited():
                 # A call of this softswitch's life before its restart: it stands at its caller still.
                 self.book.released(Release(message.call, message.reason), None)
             return
@@ -772,11 +781,12 @@
         """The caller releases a call that stands."""
         attempt = self.floor.standing.get(message.call)
         if attempt is None:
-            if message.call not in self.book.ended and self.book.inherited():
+            host = self.floor.bequest.take(message.call)
+            if host or (message.call not in self.book.ended and self.book.inherited()):
                 # A call of this softswitch's life before its restart: whichever server has it will know.
                 self.book.remember(message.call)
                 for server in self.floor.servers.values():
-                    if server.link is not None:
+                    if server.link is not None and host in (None, server.host):
                         server.link.send(Release(message.call, message.reason))
             return False
         self.send.drop(attempt)
@@ -1019,8 +1029,6 @@
     ) -> None:
         now = time.monotonic_ns() // NS
         self.reread = reread  # how the configuration is read again
-        # Fixed once: a start that seemed to move would read as a restart.
-        self.unix_at_zero = time.time_ns() // NS - now
         floor = self.floor = Floor(config, now)
         self.book = Book(floor)
         self.route = Route(floor)
@@ -1065,15 +1073,15 @@
             self.list(event)
         self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put)
         self.bulletin.start()
-        self.listener.start()
         self.operation.start()
+        self.listener.start()
         while not self._finished():
             self.turn()
         for number in list(floor.numbers):
             self.take_in.overdue(number)  # better a failure now than silence at the kill
         self.listener.close()
-        self.operation.stop()
         self._flush()
+        self.operation.stop()
         self.print_counts()
 
     def turn(self) -> None:
@@ -1092,8 +1100,10 @@
             self.guard(partial(self.deal, item))
         while floor.timers and floor.timers[0][0] <= floor.now:
             self.guard(heapq.heappop(floor.timers)[2])
-        if self.stop_asked and floor.mode.tell(Event.TERM).granted:
+        if self.stop_asked and (step := floor.mode.tell(self.operation.end_event())).granted:
             floor.stopping_at = floor.now
+            if step.state is State.HANDING_OVER:
+                self.listener.close()  # what comes now is the successor's
         if self.reload_asked:
             self.reload_asked = False
             if floor.mode.tell(Event.HANGUP).granted:
@@ -1177,6 +1187,8 @@
                 self.send.failed(item)
             case Roster():
                 self.list(item)
+            case Departed():
+                self.operation.departed(item)
             case _ if self.numbers is not None:
                 self.numbers.deal(item)
 
@@ -1228,7 +1240,7 @@
         entries = []
         away: list[tuple[Server, int]] = []  # with when what they had was lost
         for line in roster.hosts:
-            born = max(line.born_ms * MS - self.unix_at_zero, 1) if line.born_ms else 0
+            born = max(line.born_ms * MS - floor.unix_at_zero, 1) if line.born_ms else 0
             server = floor.servers.get(line.host)
             if server is None:
                 server = floor.servers[line.host] = Server(
@@ -1262,7 +1274,8 @@
         if not floor.stopping_at:
             return False
         since = floor.now - floor.stopping_at
-        most = min(max(floor.config.longest), STOP_MOST) + STOP_AFTER
+        handing_over = floor.mode.state is State.HANDING_OVER
+        most = min(max(floor.config.longest), HAND_OVER_MOST if handing_over else STOP_MOST) + STOP_AFTER
         return since >= most or (since >= NOTICE and not floor.open)
 
     def _flush(self) -> None:
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -7,13 +7,18 @@
 from __future__ import annotations
 
 import logging
+import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from wickstep.interface import ServerState
-from wickstep.operation import calls, draining, figures
+from wickstep.net import Release
+from wickstep.operation import bequest, calls, draining, figures
+from wickstep.operation.beside import Beside, Departed, folder_of
 from wickstep.operation.draining import PLANS, Connection
 from wickstep.operation.front import Front
-from wickstep.operation.mode import State
+from wickstep.operation.mode import Event, State
+from wickstep.recovery import learned
 
 if TYPE_CHECKING:
     from wickstep.net.softswitch import Floor, TakeIn
@@ -21,6 +26,8 @@
 log = logging.getLogger(__name__)
 
 SNAPSHOT_EVERY = 200_000  # microseconds; operators may see figures that old
+KEEP_EVERY = 1_000_000  # what is learned is written so often, where a successor may come
+FRESH = 10_000_000_000  # nanoseconds; a predecessor that has written nothing for longer is none any more
 
 
 class Operation:
@@ -33,19 +40,46 @@
         self.discovered = self.ejected = 0
         desk = calls.Desk(self.status, self.figures, floor.mode.tell)
         self.front = Front(floor.config.operator, desk) if floor.config.operator else None
+        # A successor can come beside this process only where somebody else holds the callers' socket.
+        folder = folder_of(floor.config.name) if floor.config.inherited is not None else None
+        self.beside = Beside(folder, floor.inbox.put) if folder is not None else None
+        self.sharing = 1  # processes of this softswitch that are there
+        self.undivided = floor.config.settings
 
     def start(self) -> None:
-        """Answer operators from now on, where an address is named for them."""
+        """Before the first caller: take over what an earlier process knows, and answer operators."""
+        if self.beside is not None and self.beside.join():
+            self.adopt(self.beside.learned())
+            self.divide()
+            self.keep()
+            self.beside.start()
+        else:
+            self.beside = None
         if self.front is not None:
             self.snapshot()
             self.front.start()
 
     def stop(self) -> None:
+        """At the end: leave to a successor what stands here, and what its callers could not be told."""
         if self.front is not None:
             self.front.close()
+        if self.beside is not None:
+            book, standing = self.take_in.book, self.floor.standing
+            releases = [(release.call, release.reason) for _, release in book.unsent]
+            calls_here = {call: attempt.server.host for call, attempt in standing.items()}
+            self.beside.depart(bequest.written(calls_here, releases))
+
+    def end_event(self) -> Event:
+        """What SIGTERM means now."""
+        return Event.RELIEVED if self.beside is not None and self.beside.successor() else Event.TERM
 
     def turn(self) -> None:
-        """Look at the state, once a turn of the loop."""
+        """Look at the state, and at who else is there, once a turn of the loop."""
+        if self.beside is not None:
+            if self.sharing != 1 + len(self.beside.others):
+                self.divide()
+            if self.floor.list_known:
+                self.beside.ready()
         state = self.floor.mode.state
         if state is not self.seen:
             log.warning("%s, after %s", state.value, self.seen.value)
@@ -83,6 +117,66 @@
 
     looks_at = 0  # when connections are looked at next
 
+    def divide(self) -> None:
+        """Several processes of one softswitch have one softswitch's part between them.
+
+        The controller's budgets for cold servers, trials and probes are a part of all softswitches' sum: each
+        process counts itself as one of so many more. Callers' connections are divided likewise.
+        """
+        floor = self.floor
+        before, self.sharing = self.sharing, 1 + len(self.beside.others if self.beside is not None else ())
+        divided = replace(self.undivided, proxies=self.undivided.proxies * self.sharing)
+        self.take_in.route.controller.settings = divided
+        floor.callers_most = floor.config.max_callers // self.sharing
+        log.warning("%d processes share this softswitch's part", self.sharing)
+        if self.sharing < before:
+            # What setup servers have said of calls on the last connections of who has gone, they say again on
+            # the next that is opened.
+            for server in floor.servers.values():
+                self.take_in.send.connect(server, beside=True)
+
+    def born_ms(self) -> dict[str, int]:
+        """The starts of the servers as the list tells them: each process has a zero of its own."""
+        zero = self.floor.unix_at_zero
+        return {s.host: (s.born + zero) // 1000 if s.born else 0 for s in self.floor.servers.values()}
+
+    def keep(self) -> None:
+        """Hand what the controller has learned to the thread that writes it."""
+        if self.beside is not None:
+            floor = self.floor
+            floor.at(floor.now + KEEP_EVERY, self.keep)
+            controller = self.take_in.route.controller
+            now = floor.now * 1000
+            self.beside.keep(learned.written(learned.kept(controller, self.born_ms(), now, now)))
+
+    def adopt(self, content: object) -> None:
+        """Use what a process that is there, or was a moment ago, has learned; nonsense is passed over."""
+        if content is None:
+            return
+        now = time.monotonic_ns()  # the clock of both
+        try:
+            found = learned.read(content)
+            if now - found.at > FRESH:
+                raise learned.Unusable(f"{(now - found.at) / 1e9:.0f} s old")
+            controller = self.take_in.route.controller
+            given = learned.adopt(controller, found, self.born_ms(), self.floor.now * 1000, now)
+        except learned.Unusable as trouble:
+            log.warning("what was learned before is not used: %s", trouble)
+        else:
+            log.warning("starting with what was learned of %d servers", given)
+
+    def departed(self, left: Departed) -> None:
+        """An earlier process has ended: its calls stand on, and their releases come here."""
+        try:
+            standing, releases = bequest.read(left.content)
+        except bequest.Unusable as trouble:
+            log.warning("what another process has left is not used: %s", trouble)
+            return
+        log.warning("an earlier process has left %d calls and %d releases", len(standing), len(releases))
+        self.floor.bequest.add(standing, self.floor.now)
+        for call, reason in releases:
+            self.take_in.book.released(Release(call, reason), None)
+
     def snapshot(self) -> None:
         """Count what only the loop may look at."""
         floor = self.floor
--- /dev/null
+++ b/wickstep/recovery/envelope.py
@@ -0,0 +1,91 @@
+"""Files that tell whether they are whole: one line with kind, version and checksum, then a body of JSON.
+
+This file owns that form and the way it is written and read. It must never raise anything but `Spoilt` on what
+stands in a file, follow a link, wait for a pipe, or read more than it was told to.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import os
+import stat
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+MARK = "wickstep"
+VERSION = 1  # of all that is sealed here; another one's is not read
+DIGEST = 16  # bytes
+
+
+class Spoilt(ValueError):
+    """A file that cannot be used; the text says why."""
+
+
+def _digest(head: bytes, body: bytes) -> str:
+    return hashlib.blake2b(head + b"\n" + body, digest_size=DIGEST).hexdigest()
+
+
+def seal(kind: str, content: Any) -> bytes:
+    """What stands in a file of this kind. The content is of what JSON has."""
+    body = ujson.dumps(content, escape_forward_slashes=False).encode()
+    head = f"{MARK} {kind} {VERSION}".encode()
+    return b"%b %b\n%b" % (head, _digest(head, body).encode(), body)
+
+
+def unseal(kind: str, raw: bytes) -> Any:
+    """The content; raises Spoilt."""
+    line, _, body = raw.partition(b"\n")
+    words = line.split(b" ")
+    if len(words) != 4 or words[0] != MARK.encode() or words[1] != kind.encode():
+        raise Spoilt(f"no {kind} of {MARK}")
+    if words[2] != b"%d" % VERSION:
+        raise Spoilt(f"version {words[2][:20]!r}, this is {VERSION}")
+    if words[3] != _digest(b" ".join(words[:3]), body).encode():
+        raise Spoilt("the checksum does not fit")
+    try:
+        return ujson.loads(body)
+    except ValueError as trouble:
+        raise Spoilt(f"no JSON: {trouble}") from trouble
+
+
+def write(path: Path, kind: str, content: Any) -> None:
+    """Replace the file whole: a reader, or a kill at any moment, finds the old one or the new. OSError."""
+    beside = path.with_name(f".{path.name}.{os.getpid()}")
+    descriptor = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_NOFOLLOW, 0o600)
+    try:
+        with os.fdopen(descriptor, "wb") as file:
+            file.write(seal(kind, content))
+        os.replace(beside, path)
+    except OSError:
+        with contextlib.suppress(OSError):
+            os.unlink(beside)
+        raise
+
+
+def read(path: Path, kind: str, most: int) -> Any | None:
+    """The content of a file of at most so many bytes, None where there is none; raises Spoilt."""
+    try:
+        descriptor = os.open(path, os.O_RDONLY | os.O_NOFOLLOW | os.O_NONBLOCK)
+    except FileNotFoundError:
+        return None
+    except OSError as trouble:
+        raise Spoilt(str(trouble)) from trouble
+    try:
+        found = os.fstat(descriptor)
+        if not stat.S_ISREG(found.st_mode) or found.st_uid != os.geteuid():
+            raise Spoilt("no file of this user")
+        if found.st_size > most:
+            raise Spoilt(f"{found.st_size} bytes, {most} at most")
+        raw = b""
+        while len(raw) <= most and (data := os.read(descriptor, most + 1 - len(raw))):
+            raw += data
+    except OSError as trouble:
+        raise Spoilt(str(trouble)) from trouble
+    finally:
+        os.close(descriptor)
+    if len(raw) > most:
+        raise Spoilt(f"more than {most} bytes")
+    return unseal(kind, raw)
