--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 import click
+import ujson
 
 from wickstep import __version__
 from wickstep.net import Malformed, Message, Release, SetUp, Test, TestResult, codec, links, softswitch
@@ -162,6 +163,32 @@
         raise click.ClickException(f"{path} is no table\n{told}") from trouble
 
 
+@main.command()
+@click.argument("scenario_path", metavar="SCENARIO", type=click.Path(path_type=Path))
+@click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write the report there too.")
+@click.option("--seed", type=int, help="Another seed than the scenario's.")
+def rehearse(scenario_path: Path, json_path: Path | None, seed: int | None) -> None:
+    """Play a scenario of faults with real softswitches on loopback; exit code 0 if all rules were kept."""
+    import tempfile
+    from dataclasses import replace
+
+    from wickstep.forms import BadForm
+    from wickstep.rehearsal import report, run, scenario
+
+    try:
+        script = scenario.read(scenario_path.read_text())
+    except (OSError, BadForm, UnicodeDecodeError) as trouble:
+        raise click.ClickException(f"{scenario_path}: {trouble}") from trouble
+    if seed is not None:
+        script = replace(script, seed=seed)
+    with tempfile.TemporaryDirectory(prefix="wickstep-rehearsal-") as folder:
+        found = run.Rehearsal(script, Path(folder)).play()
+    click.echo("\n".join(report.table(found)))
+    if json_path is not None:
+        json_path.write_text(ujson.dumps(found.as_json()))
+    sys.exit(not found.kept)
+
+
 NOBODY = 3  # exit code where no softswitch answers at the operators' address
 OPERATOR = click.option(
     "--at",
--- /dev/null
+++ b/wickstep/forms.py
@@ -0,0 +1,94 @@
+"""Settings in KDL: one root node, whose children are read by names, types and bounds that readers ask for.
+
+This file owns that form. It must never open a file or fill in what is not there without being told a default;
+what is not known is wrong, since a typing error that is passed over would leave a setting at its default.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from kdl.errors import ParseError
+from kdl.parsing import Parser
+from kdl.types import Node
+
+TEXT_MOST = 64 * 1024  # characters
+
+
+class BadForm(ValueError):
+    """A text that is none of this form; says where and why."""
+
+
+class Form:
+    """One node: its arguments and properties are taken one by one, and `done` finds what nobody has taken."""
+
+    def __init__(self, node: Node) -> None:
+        self.name = node.name
+        self._args = list(node.args)
+        self._props = dict(node.props)
+        self._nodes = list(node.nodes)
+
+    def wrong(self, why: str) -> BadForm:
+        return BadForm(f"{self.name}: {why}")
+
+    def text(self, name: str, default: str | None = None, choices: tuple[str, ...] = ()) -> str:
+        """A property that is text, or the next argument where `name` is empty."""
+        value = self._take(name, default)
+        if not isinstance(value, str) or not value or (choices and value not in choices):
+            raise self.wrong(f"{name or 'argument'}: {value!r}, {' or '.join(choices) or 'a text is wanted'}")
+        return value
+
+    def number(self, name: str, default: float | None, least: float, most: float) -> float:
+        """A property that is a number within bounds, or the next argument where `name` is empty."""
+        value = self._take(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+            raise self.wrong(f"{name or 'argument'}: {value!r} is no number from {least:g} to {most:g}")
+        return float(value)
+
+    def whole(self, name: str, default: int | None, least: int, most: int) -> int:
+        """The same for a whole number."""
+        value = self.number(name, default, least, most)
+        if not value.is_integer():
+            raise self.wrong(f"{name or 'argument'}: {value:g} is no whole number")
+        return int(value)
+
+    def given(self) -> set[str]:
+        """The properties that nobody has taken yet."""
+        return set(self._props)
+
+    def children(self, *names: str) -> Iterator[Form]:
+        """The nodes of its block, in order; each must have one of these names."""
+        nodes, self._nodes = self._nodes, []
+        for node in nodes:
+            if node.name not in names:
+                raise self.wrong(f"{node.name} has no place here; there are {', '.join(names)}")
+            yield Form(node)
+
+    def done(self) -> None:
+        """Raises BadForm if anything is left."""
+        left = [*map(repr, self._args), *sorted(self._props), *(node.name for node in self._nodes)]
+        if left:
+            raise self.wrong(f"knows no {', '.join(left)}")
+
+    def _take(self, name: str, default: Any) -> Any:
+        found = self._props.pop(name, default) if name else None
+        value = found if name else self._args.pop(0) if self._args else default
+        if value is None:
+            raise self.wrong(f"{name or 'an argument'} is missing")
+        return value
+
+
+def root(text: str, name: str) -> Form:
+    """The one node of a text, which has to have this name; raises BadForm."""
+    if len(text) > TEXT_MOST:
+        raise BadForm(f"{len(text)} characters, {TEXT_MOST} at most")
+    try:
+        nodes = Parser().parse(text).nodes
+    except ParseError as trouble:
+        raise BadForm(f"not KDL: {trouble}") from None
+    except (ValueError, ArithmeticError, RecursionError, IndexError) as trouble:  # 1e999, endless nesting
+        raise BadForm(f"not KDL: {trouble!r}") from None
+    if len(nodes) != 1 or nodes[0].name != name:
+        raise BadForm(f"one node `{name}` is wanted, and nothing else")
+    return Form(nodes[0])
