--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from wickstep.numbering.table import Table
+    from wickstep.recovery.store import Store
 
 
 @click.group()
@@ -111,7 +112,13 @@
     type=click.Path(path_type=Path),
     help="Analyse the numbers called by this table, as KDL; read again on SIGHUP.",
 )
-def serve(path: Path, verbose: bool, numbers_path: Path | None) -> None:
+@click.option(
+    "--recovery",
+    "recovery_path",
+    type=click.Path(path_type=Path),
+    help="Keep what is learned over restarts, as this KDL file says.",
+)
+def serve(path: Path, verbose: bool, numbers_path: Path | None, recovery_path: Path | None) -> None:
     """Serve calls until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters."""
     logging.basicConfig(
         stream=sys.stderr,
@@ -119,7 +126,9 @@
         format="%(asctime)s %(name)s %(message)s",
     )
     threading.stack_size(links.STACK)
-    switch = softswitch.Softswitch(read(path), lambda: read(path), analysis_by(numbers_path))
+    config = read(path)
+    store = store_by(recovery_path, config.name)
+    switch = softswitch.Softswitch(config, lambda: read(path), analysis_by(numbers_path), store)
 
     def stop(*_: object) -> None:
         switch.stop_asked = True
@@ -140,6 +149,20 @@
     softswitch.leave()
 
 
+def store_by(path: Path | None, softswitch_name: str) -> Store | None:
+    """Where what is learned is kept over restarts; None where it is not."""
+    if path is None:
+        return None
+    from wickstep.forms import BadForm
+    from wickstep.recovery import plan
+    from wickstep.recovery.store import Store
+
+    try:
+        return Store(plan.read(path.read_text()), softswitch_name)
+    except (OSError, BadForm, UnicodeDecodeError) as trouble:
+        raise click.ClickException(f"{path}: {trouble}") from trouble
+
+
 def analysis_by(
     path: Path | None,
 ) -> Callable[[softswitch.Floor, softswitch.Admit], softswitch.Numbers] | None:
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -14,16 +14,17 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import ujson
 
 from wickstep.interface import ServerState
 from wickstep.net import links
+from wickstep.recovery import phases
 
 log = logging.getLogger(__name__)
 
-PATIENCE_MS = 1000  # how long the bulletin may hold a call: a dead connection is noticed soon after
 GRACE_S = 1.0  # what the answer may take on top of that
 PAUSE_S = 0.1  # after a failure
 ANSWER_MOST = 4 * 1024 * 1024
@@ -104,8 +105,12 @@
 class Client:
     """Calls the bulletin again and again and hands each event on."""
 
-    def __init__(self, where: str, after: int, hand_on: Callable[[Roster], None]) -> None:
+    def __init__(
+        self, where: str, after: int, hand_on: Callable[[Roster], None], random: Random | None = None
+    ) -> None:
         self._where, self._after, self._hand_on = where, after, hand_on
+        self._random = random or Random()
+        self._held_ms = 0  # by the call that is out
         self._sock: socket.socket | None = None
         self._to = ""  # where that leads
         self._rest = b""
@@ -129,6 +134,8 @@
                     sock.shutdown(socket.SHUT_RDWR)
 
     def _follow(self) -> None:
+        # A fleet that comes back together must not call together, nor in step from then on.
+        self._moved.wait(phases.first_list_s(self._random, self._after > 0))
         while True:
             try:
                 self.once()
@@ -140,7 +147,8 @@
 
     def once(self) -> None:
         """One call; what it brought is handed on."""
-        last, events = read_events(self._get(f"/bulletins?after={self._after}&patience={PATIENCE_MS}"))
+        self._held_ms = phases.list_held_ms(self._random)
+        last, events = read_events(self._get(f"/bulletins?after={self._after}&patience={self._held_ms}"))
         for event in events:
             if event.number > self._after:
                 self._hand_on(event)
@@ -171,7 +179,7 @@
     def _get(self, path: str) -> Any:
         sock = self._connect()
         # One clock for the whole answer: a bulletin that drips a byte now and then must not hold us for ever.
-        until = time.monotonic() + PATIENCE_MS / 1000 + GRACE_S
+        until = time.monotonic() + self._held_ms / 1000 + GRACE_S
         request = f"GET {path} HTTP/1.1\r\nHost: {self._to}\r\nAccept: application/json\r\n\r\n"
         sock.sendall(request.encode())
         head = self._until(b"\r\n\r\n", until).decode("latin-1").split("\r\n")
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -12,6 +12,7 @@
 import itertools
 import logging
 import os
+import random
 import sys
 import threading
 import time
@@ -20,7 +21,7 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 from queue import Empty, SimpleQueue
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import ujson
 
@@ -49,8 +50,12 @@
 from wickstep.operation.figures import Tally
 from wickstep.operation.mode import Event, Mode, State
 from wickstep.operation.service import Operation
+from wickstep.recovery import phases
 from wickstep.settings import REPORT_FIELDS, read_settings
 
+if TYPE_CHECKING:
+    from wickstep.recovery.store import Store
+
 log = logging.getLogger(__name__)
 
 MS = 1000  # microseconds, the unit of every time in this file
@@ -407,6 +412,7 @@
         self.probes: dict[int, tuple[Server, int]] = {}
         self.reader = links.Reader()
         self.watch_at = 0
+        self.random = random.Random(floor.config.seed ^ 0xD1A1)
         self.probes_left, self.probes_at = PROBES_SAVED, floor.now
         self.probe_ids = itertools.count(floor.config.seed & 0xFFFFFFFF0000 | 1 << 63)
 
@@ -508,6 +514,16 @@
             self.floor.counts["dials"] += 1
             links.dial(server.dial, self.floor.config.dial_timeout, self.floor.inbox, server, self.reader)
 
+    def connect_soon(self, server: Server) -> None:
+        """Connect at a drawn moment, as all softswitches hear of a server at once. No call waits for it."""
+        if server.link is None and not server.dialing and not server.redial_pending:
+            server.redial_pending = True
+            self.floor.at(self.floor.now + phases.dial_us(self.random), partial(self._connect_due, server))
+
+    def _connect_due(self, server: Server) -> None:
+        server.redial_pending = False
+        self.connect(server)
+
     def opened(self, link: Link, server: Server) -> None:
         server.dialing = False
         if server.state is ServerState.GONE:
@@ -564,12 +580,7 @@
         if server.redial_pending:
             return
         server.redial_pending = True
-
-        def again() -> None:
-            server.redial_pending = False
-            self.connect(server)
-
-        self.floor.at(self.floor.now + server.redial_after, again)
+        self.floor.at(self.floor.now + server.redial_after, partial(self._connect_due, server))
         server.redial_after = min(2 * server.redial_after, REDIAL_MOST)
 
     def closed(self, link: Link, server: Server) -> None:
@@ -1026,6 +1037,7 @@
         config: Config,
         reread: Callable[[], Config] | None = None,
         numbers: Callable[[Floor, Admit], Numbers] | None = None,
+        store: Store | None = None,
     ) -> None:
         now = time.monotonic_ns() // NS
         self.reread = reread  # how the configuration is read again
@@ -1040,7 +1052,7 @@
         if self.numbers is not None:
             self.admit.analyse, self.book.on_closed = self.numbers.call, self.numbers.ended
         self.take_in = TakeIn(floor, self.route, self.admit, self.send, self.relay, self.book)
-        self.operation = Operation(floor, self.take_in)
+        self.operation = Operation(floor, self.take_in, store)
         self.admit.leaves = self.operation.refuses
         self.route.acts = {
             api.Send: self.send.send,
@@ -1071,7 +1083,8 @@
         after, events = floor.config.known
         for event in events:
             self.list(event)
-        self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put)
+        drawn = random.Random(floor.config.seed ^ 0x1157)
+        self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put, drawn)
         self.bulletin.start()
         self.operation.start()
         self.listener.start()
@@ -1266,7 +1279,7 @@
             why = "gone" if server.state is ServerState.GONE else "started anew"
             self.send.abandon(server, before, why)
         for server in floor.servers.values():
-            self.send.connect(server)
+            self.send.connect_soon(server)
         floor.list_known = floor.list_known or bool(floor.servers)
 
     def _finished(self) -> bool:
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from wickstep.net.softswitch import Floor, TakeIn
+    from wickstep.recovery.store import Store
 
 log = logging.getLogger(__name__)
 
@@ -33,8 +34,8 @@
 class Operation:
     """The loop's side of it all; everything but `status` and `figures` is called by the loop only."""
 
-    def __init__(self, floor: Floor, take_in: TakeIn) -> None:
-        self.floor, self.take_in = floor, take_in
+    def __init__(self, floor: Floor, take_in: TakeIn, store: Store | None = None) -> None:
+        self.floor, self.take_in, self.store = floor, take_in, store
         self.seen = floor.mode.state  # the state that was carried out last,
         self.since = floor.now  # and when
         self.discovered = self.ejected = 0
@@ -48,6 +49,10 @@
 
     def start(self) -> None:
         """Before the first caller: take over what an earlier process knows, and answer operators."""
+        if self.store is not None:
+            self.store.adopt(self.take_in.route.controller, self.born_ms(), self.floor.now * 1000)
+            self.store.start()
+            self.floor.at(self.floor.now + self.store.every_us, self.save)
         if self.beside is not None and self.beside.join():
             self.adopt(self.beside.learned())
             self.divide()
@@ -61,6 +66,9 @@
 
     def stop(self) -> None:
         """At the end: leave to a successor what stands here, and what its callers could not be told."""
+        if self.store is not None:
+            self.save()
+            self.store.finish()
         if self.front is not None:
             self.front.close()
         if self.beside is not None:
@@ -149,6 +157,13 @@
             now = floor.now * 1000
             self.beside.keep(learned.written(learned.kept(controller, self.born_ms(), now, now)))
 
+    def save(self) -> None:
+        """Hand it to the thread that writes it into the operator's folder."""
+        if self.store is not None:
+            floor = self.floor
+            floor.at(floor.now + self.store.every_us, self.save)
+            self.store.keep(self.take_in.route.controller, self.born_ms(), floor.now * 1000)
+
     def adopt(self, content: object) -> None:
         """Use what a process that is there, or was a moment ago, has learned; nonsense is passed over."""
         if content is None:
--- /dev/null
+++ b/wickstep/recovery/phases.py
@@ -0,0 +1,33 @@
+"""When a start, or any news that all hear at once, is followed by what each does harmlessly alone.
+
+This file owns those draws. It must never do I/O or read a clock: it is handed a source of random numbers,
+and says how long to wait. Nothing that a caller waits for is ever delayed by it.
+
+The sum over a fleet is bounded by spreading: of n that begin in one instant, n * 0.1 / LIST_SPREAD_S call
+for the list in the same tenth of a second, 14 in a hundred, and from then on ever fewer do, since each
+call is held for a drawn time. A change that is told meanwhile is heard `LIST_SPREAD_S` later at most, of
+the 2 s that there are.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+LIST_SPREAD_S = 0.7  # of the first call for the list, where there is a list from the start
+LIST_HELD_MS = (800, 1200)  # how long the bulletin may hold a call: a dead connection is noticed soon after
+DIAL_SPREAD_US = 500_000  # of connections to servers that no set-up waits for
+
+
+def first_list_s(random: Random, listed: bool) -> float:
+    """Seconds before the first call for the list; none where nothing is known without it."""
+    return random.random() * LIST_SPREAD_S if listed else 0.0
+
+
+def list_held_ms(random: Random) -> int:
+    """Milliseconds that the bulletin may hold the next call."""
+    return random.randint(*LIST_HELD_MS)
+
+
+def dial_us(random: Random) -> int:
+    """Microseconds before a connection that nothing waits for is made."""
+    return int(random.random() * DIAL_SPREAD_US)
--- a/wickstep/rehearsal/judge.py
+++ b/wickstep/rehearsal/judge.py
@@ -46,6 +46,9 @@
         self.downs: dict[int, list[tuple[float, float]]] = defaultdict(list)
         since: dict[int, float] = {}
         self.cuts: dict[int, list[tuple[float, float]]] = defaultdict(list)  # of links to servers
+        self.spoken: dict[int, list[float]] = defaultdict(list)  # when callers asked a softswitch
+        for event in trace.of(What.ASKED):
+            self.spoken[event.softswitch].append(event.at)
         for event in trace.of(What.DOWN, What.UP, What.BROKE):
             if event.what is What.BROKE:
                 broken = self.downs if event.why == "callers" else self.cuts
@@ -125,6 +128,8 @@
             # Over while its softswitch was down, it can be told once that is back.
             hurt = self.excused(over.softswitch, stood.at, over.at + TOLD_S, servers=True)
             most = UNSENT_S if hurt else TOLD_S
+            if hurt and not any(over.at < at < over.at + most for at in self.spoken[over.softswitch]):
+                continue  # no caller came to it again: there was nobody to be told
             if took > most + LATE_S:
                 text = f"{call:x}: its caller was told {took:.1f} s after its end"
                 yield Breach(over.at + most, "release", text)
--- a/wickstep/rehearsal/loop.py
+++ b/wickstep/rehearsal/loop.py
@@ -39,6 +39,12 @@
         else:
             self._selector.register(sock, events, (on_read, on_write))
 
+    def watch_descriptor(self, descriptor: int, on_read: Ready) -> None:
+        self._selector.register(descriptor, selectors.EVENT_READ, (on_read, None))
+
+    def forget_descriptor(self, descriptor: int) -> None:
+        self._selector.unregister(descriptor)
+
     def forget(self, sock: socket.socket) -> None:
         if sock in self._selector.get_map():
             self._selector.unregister(sock)
