Serve set-ups that are written over two seconds, and close half a one 2.7 s after its connect

Need: operators meet callers that take two seconds to write a set-up; a message had to be whole 1.5 s after its first byte, so each of those was closed and failed. Half a call is owed a close within 3 s of its connect; one that was silent for 2 s and then began had 3.5 s.

Change: the first message of a caller's connection has to be whole 2.7 s after the connect, whenever it was begun; later ones 2.2 s after their first byte.

Test: a set-up in three pieces over 1.9 s, and half a one beside it; it fails without the change.

--- a/tests/test_operation_stories.py
+++ b/tests/test_operation_stories.py
@@ -12,7 +12,7 @@
 from click.testing import CliRunner
 
 from wickstep.__main__ import NOBODY, main
-from wickstep.net import Answer, Note, Reason, Release, SetUp, Test, TestResult, links
+from wickstep.net import Answer, Note, Reason, Release, SetUp, Test, TestResult, codec, links
 from wickstep.net import softswitch as module
 from wickstep.operation import draining, front
 from wickstep.operation.mode import State
@@ -266,3 +266,19 @@
     held.accept()[0].close()
     left.close()
     held.close()
+
+
+def test_a_set_up_written_over_two_seconds_is_served_and_half_a_one_is_not_held(one: One) -> None:
+    town, _, trunk, slow = one
+    half, before = town.caller(), time.monotonic()
+    whole = codec.encode(SetUp(0x510, "voice", 5000, "7", b"offer", first_choice=0))
+    half.sock.sendall(whole[:9])
+    for piece in (whole[:1], whole[1:20], whole[20:]):
+        slow.sock.sendall(piece)
+        if piece is not whole[20:]:
+            time.sleep(1.0 if len(piece) == 1 else 0.9)
+    trunk.hear(SetUp, 0x510)
+    trunk.say(Answer(0x510, b"accept"))
+    slow.hear(Answer, 0x510)
+    assert half.ends()
+    assert time.monotonic() - before < 3.5  # 3 s are allowed; and a little for a busy machine
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -533,6 +533,7 @@
     stands(town, trunk, caller)  # and one that has spoken may be silent
     monkeypatch.setattr(links, "FIRST_MS", 50)
     monkeypatch.setattr(links, "WHOLE_MS", 50)
+    monkeypatch.setattr(links, "FIRST_WHOLE_MS", 100)
     bad = town.caller()
     bad.sock.sendall(begun)
     assert bad.ends()
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -39,7 +39,8 @@
 BACKLOG = 256
 BIND_S = 3.0
 FIRST_MS = 2000  # a caller that has sent nothing at all by then is closed: hundreds connect and stay silent
-WHOLE_MS = 1500  # and so is one whose message, once begun, is not whole by then
+WHOLE_MS = 2200  # and so is one whose message, once begun, is not whole by then: some take two seconds
+FIRST_WHOLE_MS = 2700  # after the connect: by then the first one has to be whole, whenever it was begun
 TURN_MS = 20  # how soon a thread at a shared socket sees that it has been told to leave
 LOOK_MS = 50  # how soon the common reader sees a new connection
 ANSWER_MS = 200  # the same for a server: what follows would be taken for the message's rest
@@ -148,6 +149,7 @@
         self.outbox_most = OUTBOX_MOST
         self.chunk = CHUNK
         self.had_call = False  # the loop's: a call that came on it has stood
+        self.first_whole_at = 0  # when the first message must be whole, in milliseconds; 0: as any other
         self.first_ms = 0  # how long the peer may be silent at first; 0: for ever
         self.leaving = False  # the loop's: told to close; what still comes is not taken in
         self.inbox = inbox
@@ -313,6 +315,8 @@
             self._until = 0
         elif whole or not self._until:
             self._until = now + self.whole_ms
+            if self.first_whole_at and not self._came:
+                self._until = self.first_whole_at
         elif now >= self._until:
             raise Malformed("a message that does not end")
         return max(self._until - now, 1) if self._until else 0
@@ -446,6 +450,7 @@
                 continue
             link.freed = self._room.release
             link.whole_ms, link.first_ms = WHOLE_MS, FIRST_MS
+            link.first_whole_at = time.monotonic_ns() // 1_000_000 + FIRST_WHOLE_MS
             link.outbox_most, link.chunk = CALLER_OUTBOX_MOST, CALLER_CHUNK
             self._inbox.put(Opened(link))
             try:
