Take out of the fault rig what nothing used, and name servers' states in one place

Read over: the front's start stood beside a copy of it in the runner, options that no caller gave were passed through three calls, a type named a case that does not occur, and the words of the list were written a second time. Nothing that serves calls is touched; what a rehearsal does stays as it was.

--- a/wickstep/rehearsal/callers.py
+++ b/wickstep/rehearsal/callers.py
@@ -113,9 +113,13 @@
         self.ids = iter(range(1, 2**40))
         self.stopped = False
 
-    def start(self) -> None:
+    def open_front(self) -> None:
+        """Test each softswitch, again and again; nobody calls yet."""
         for number in range(len(self.desks)):
             self._test(number)
+
+    def start(self) -> None:
+        """Callers begin to call."""
         self._next()
 
     def stop(self) -> None:
--- a/wickstep/rehearsal/run.py
+++ b/wickstep/rehearsal/run.py
@@ -60,9 +60,7 @@
 class Rehearsal:
     """One play of a scenario, in a folder of its own."""
 
-    def __init__(
-        self, scenario: Scenario, folder: Path, extra: list[str] | None = None, program: Path = ROOT
-    ) -> None:
+    def __init__(self, scenario: Scenario, folder: Path, program: Path = ROOT) -> None:
         """`program` is the checkout whose softswitches are played: an earlier version may be compared."""
         self.scenario, self.random = scenario, random.Random(scenario.seed)
         self.loop, self.sky, self.trace = Loop(), Sky(), Trace()
@@ -74,7 +72,7 @@
         ports = free_ports(count, scenario.seed)
         self.launchers = Launchers(self.loop, program.resolve())
         self.switches = [
-            Softswitch(n, home, ports[n], self._extra(home, extra), self.launchers)
+            Softswitch(n, home, ports[n], self._extra(home), self.launchers)
             for n, home in enumerate(homes)
         ]
         where = [switch.where for switch in self.switches]
@@ -89,8 +87,7 @@
         try:
             for switch in self.switches:
                 self._start(switch)
-            for number in range(len(self.switches)):
-                self.callers._test(number)
+            self.callers.open_front()
             if not loop.run(self.callers.ready, READY_MOST_S):
                 raise TimeoutError(f"softswitches are not ready: {self.switches[0].logs()[-2000:]}")
             self.ready_s = loop.at
@@ -102,7 +99,7 @@
             self.trace.events.clear()
             for fault in self.scenario.faults:
                 loop.after(fault.at, partial(self._fault, fault))
-            self.callers._next()
+            self.callers.start()
             loop.after(self.scenario.lasts_s, self.callers.stop)
             over = self.scenario.lasts_s + self.scenario.callers.wait_s + REST_S
             loop.run(lambda: loop.at >= over, over + 5)
@@ -112,13 +109,14 @@
         breaches = judge.breaches(self.trace, loop.at)
         return report.made(self.scenario, self.trace, breaches, self.ready_s, crashes)
 
-    def _extra(self, folder: Path, extra: list[str] | None) -> list[str]:
+    def _extra(self, folder: Path) -> list[str]:
+        """Options of `serve`."""
         if not self.scenario.keeps_state:
-            return extra or []
+            return []
         settings_file = folder.parent / f"{folder.name}.kdl"
         settings_file.parent.mkdir(parents=True, exist_ok=True)
         settings_file.write_text(f'recovery {{\n    folder "{folder / "state"}"\n}}\n')
-        return [*(extra or []), "--recovery", str(settings_file)]
+        return ["--recovery", str(settings_file)]
 
     def _server(self, name: str, number: int, born: float = -1e9) -> SetUpServer:
         scenario = self.scenario
--- a/wickstep/rehearsal/servers.py
+++ b/wickstep/rehearsal/servers.py
@@ -27,6 +27,7 @@
     ReleaseHeard,
     SetUp,
     Test,
+    bulletin,
     codec,
 )
 from wickstep.rehearsal.loop import Loop
@@ -36,7 +37,7 @@
 
 REFUSAL_WORK = 0.2  # of a set-up's: what it costs to turn one away
 REPORT_S = 0.4  # how often lines and waits are told unasked
-HEALTHS = ("Ready", "Terminating", "Gone")
+HEALTHS = tuple(bulletin.STATES)  # ready, draining, gone, in the words of the list
 
 
 class Link:
@@ -85,7 +86,7 @@
         self.health = HEALTHS[0]
         self.free_at = 0.0  # when its processor is through with what waits
         self.links: list[Link] = []
-        self.standing: dict[int, Link | int] = {}  # where the call came from: a link, or whose it was
+        self.standing: dict[int, Link] = {}  # where the call came from
         self.unheard: dict[int, dict[int, Release]] = {}  # by softswitch: not confirmed yet
         self.recent: deque[float] = deque()  # set-ups of the fall window
         self.ended = False
@@ -169,7 +170,7 @@
 
     def _over(self, call: int, reason: Reason = Reason.CLEARED) -> None:
         link = self.standing.pop(call, None)
-        if not isinstance(link, Link) or self.ended:
+        if link is None or self.ended:
             return
         release = Release(call, reason, report=self.report())
         self.unheard.setdefault(link.softswitch, {})[call] = release
