Ask a server that errs where nobody else has a line; its errors end no call

One of two servers errs four times in five for eight seconds; it was marked for that, and the 70 lines of the other were asked for 150 to 220 times a second.

To blame: _choices left marked servers out whatever the others had; _go_on failed a call at its second error; _failed counted each error as a processor full twice over, so that the share of an idle server fell to 0.02.

Change: a server's part of errors is smoothed. Above five in a row (FAULTY) they are its own: it is asked although marked where nobody unmarked has a line, its errors end no call, and they give no sample of a load. Turned down: no mark for errors at all, since where others have room each call would lose an attempt there.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wickstep import interface as api
-from wickstep.brain import MARK, P_MIN, STEP_MOST, T_M, TARGET, WEIGHT
+from wickstep.brain import FAULTY, MARK, ODD_MOST, P_MIN, STEP_MOST, T_M, TARGET, WEIGHT
 
 from .helpers import MS, SECOND, Host, finals, sent_to
 
@@ -99,3 +99,47 @@
     host.brain.ticks = 0
     host.run(SECOND)
     assert server.share <= 0.2
+
+
+def erring(host: Host) -> None:
+    """s0 answers one set-up after another with an error, until it is marked for it; s1 is well."""
+    host.lines(s0=(50, 60), s1=(50, 60))
+    for number in range(1000, 1000 + 3 * ODD_MOST):
+        host.now += MS
+        host.brain.servers["s0"].mark_until = 0
+        if "s0" in sent_to(host.call(number, first=0)):
+            host.ended(number, "s0", api.Outcome.ERROR)
+            host.stands(number, "s1", attempt=1)
+    assert not host.brain.unmarked(host.brain.servers["s0"])
+    assert host.brain.servers["s0"].errors > FAULTY
+
+
+def test_a_server_marked_for_its_errors_serves_where_nobody_else_has_a_line() -> None:
+    host = Host()
+    erring(host)
+    assert sent_to(host.call(1, first=0)) == ["s1"]  # the other has lines: it is skipped
+    host.lines(s1=(0, 60))
+    assert sent_to(host.call(2, first=0)) == ["s0"]
+    assert sent_to(host.ended(2, "s0", api.Outcome.ERROR)) == ["s1"]
+    full = api.AttemptEnded(2, 1, "s1", api.Outcome.FULL, MS, False, False, {}, no_line=True)
+    assert sent_to(host.give(full)) == ["s0"]
+    assert sent_to(host.ended(2, "s0", api.Outcome.ERROR, attempt=2)) == ["s0"]  # its errors end no call
+
+
+def test_two_errors_end_a_call_where_servers_are_well() -> None:
+    host = Host()
+    host.lines(s0=(50, 60), s1=(50, 60))
+    assert sent_to(host.call(1, first=0)) == ["s0"]
+    assert sent_to(host.ended(1, "s0", api.Outcome.ERROR)) == ["s1"]
+    assert finals(host.ended(1, "s1", api.Outcome.ERROR, attempt=1)) == [api.Fail(1)]
+
+
+def test_errors_are_no_sign_of_load() -> None:
+    host = Host()
+    host.lines(s0=(50, 60), s1=(50, 60))
+    for number in range(1, 81):
+        host.run(50 * MS)
+        if "s0" in sent_to(host.call(number, first=0)):
+            host.ended(number, "s0", api.Outcome.ERROR)
+        host.stands(number, "s1", attempt=host.brain.calls[number].attempts - 1)
+    assert host.brain.servers["s0"].share > 0.9
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -38,6 +38,7 @@
 MARK = SECOND // 5  # skip mark after one 'processor full' or time-out
 MARK_MOST = 3 * SECOND  # longest mark of a server that keeps failing
 ODD_MOST = 5  # errors and broken connections, with no call that stands between, that make a failure
+FAULTY = 0.23  # part of set-ups answered with an error; more is the server's fault: over ODD_MOST in a row
 TRIALS = 4  # a second, of a server that keeps failing, by all proxies together
 SUSPECT = 2  # failures in a row after which a server gets one trial at a time
 QUIET = SECOND  # evidence older than this says nothing about now
@@ -76,6 +77,7 @@
     fails: int = 0  # in a row
     odd: int = 0  # errors and broken connections since a call last stood there
     odd_at: int = 0
+    errors: float = 0.0  # part of the set-ups that it has answered with one, of late
     alive_at: int = 0  # last sign of life
     credit: float = 0.0  # sends a cold server may be given now
     credit_at: int = 0
@@ -113,8 +115,7 @@
         self.calls: dict[int, Call] = {}
         self.held: dict[int, Call] = {}
         self.rate, self.arrivals = 0.0, 0  # own first tries: a second, and in this interval
-        # Turns by the golden section, which leaves no server of its ring out for long. Its start is drawn,
-        # or what a full server turns away at hundreds of proxies at once would all go to one other.
+        # Turns by the golden section; its start is drawn, or hundreds that turn away would all ask one other.
         self.pointer = random.Random(~seed).random()
         self.out: api.Actions = []
         self.now = self.ticks = 0
@@ -159,7 +160,11 @@
     def _choices(self, call: Call) -> list[Server]:
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
         wanted, listed = call.event.first_choice, call.event.candidates
-        usable = [s for s in self.active if self.unmarked(s) and self._may_take(call, s)]
+        allowed = [s for s in self.active if self._may_take(call, s)]
+        usable = [s for s in allowed if self.unmarked(s)]
+        if not any(s.free >= 1 or not s.lines for s in usable):
+            # One that errs is marked for what it wastes. Where nobody has a line, some is better than none.
+            usable += [s for s in allowed if s not in usable and s.errors > FAULTY]
         # Nor one that had no line for it twice: its attempts would all be burnt there within milliseconds.
         usable = [s for s in usable if s is not call.short or s.free >= 1]
         # After an error another server is asked: that tells whose fault it was.
@@ -177,12 +182,9 @@
             # The last with room take their own parts, not those of the pressed: what hundreds of proxies
             # turn away at the large, each seeing nothing amiss at the small, would bury the small at once.
             others, parts, roomy = [], [], []
-        weights = [
-            part * s.free / (s.lines + 1) * (not self._replaced(s))
-            for part, s in zip(roomy, others, strict=True)
-        ]
-        if not any(weights):
-            weights = parts
+        free = [s.free / (s.lines + 1) * (not self._replaced(s)) for s in others]
+        weights = [a * b for a, b in zip(roomy, free, strict=True)]
+        weights = weights if any(weights) else parts
         turn = bisect(list(accumulate(weights)), self.pointer % 1 * sum(weights))
         first = [s for s in usable if s.number == wanted]
         # One without a free line would only say so, at the cost of its processor: the others come before it.
@@ -295,6 +297,7 @@
         sent = server.out.pop(event.call)
         self._overtaken(server, sent - self.t_m / 2)
         self.loss *= 1 - GAIN
+        server.errors *= 1 - GAIN
         if server.base and server.cold_since > server.started and event.took < 2 * server.base:
             server.cold_since = server.started  # as quick as before: the suspected restart was none
         server.base = min(server.base * BASE_DRIFT, event.took) if server.base else event.took
@@ -302,7 +305,6 @@
             server.cold_since = max(server.cold_since, self.now)  # silent till now: restarted, perhaps
         server.fails, server.odd, server.alive_at = 0, 0, self.now
         self._witness(server, event.took / (target := self._target_time(server)))
-        # The window opens while set-ups come back within the time aimed at, else it closes.
         if event.took > target:
             server.window = max(WINDOW_LEAST, server.window - 1 / server.window)
         elif 2 * len(server.out) >= server.window - 1:
@@ -326,9 +328,10 @@
         if event.callee_busy:  # no server's fault, and busy by any other: neither blamed nor tried again
             return self._refuse(call)
         if event.outcome is Outcome.ERROR:
-            if call.erred is not None:
+            erring = self.servers.get(event.server)
+            if call.erred is not None and (erring is None or erring.errors < FAULTY):
                 return self._fail(event.call)  # twice: no server can use it
-            call.erred = self.servers.get(event.server)
+            call.erred = erring
         if event.no_line and call.attempts > 1:
             call.short = self.servers.get(event.server)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
@@ -358,6 +361,7 @@
             server.odd += server.odd_at != self.now  # what comes at once has one cause
             server.odd_at = self.now
             failed = server.odd >= ODD_MOST
+            server.errors += GAIN * (1 - server.errors) * (event.outcome is Outcome.ERROR)
         if failed:
             self._failed(server)
         self._report(server, event.report)
@@ -367,8 +371,7 @@
         free, lines = report.get("free", -1.0), report.get("lines", -1.0)
         if 0 <= free <= lines < math.inf:
             server.free, server.lines = free, lines
-        wait = report.get("wait_ms", -1.0)
-        waiting, rate = report.get("waiting", -1.0), report.get("can_take", -1.0)
+        wait, waiting, rate = (report.get(name, -1.0) for name in ("wait_ms", "waiting", "can_take"))
         if wait < 0 <= waiting and rate > 0:
             wait = 1000 * waiting / rate
         if math.isfinite(wait) and wait >= 0:
@@ -485,23 +488,22 @@
         return server.mark_until <= self.now and not (server.fails >= SUSPECT and server.out)
 
     def _failed(self, server: Server) -> None:
-        """Skip a server that failed, longer each time in a row; failures within a mark are the same one."""
-        self._witness(server, FULL)
+        """Skip a server that failed, longer each time in a row; failures within a mark are one."""
+        if server.errors < FAULTY:  # else it is marked for what it wastes, whatever its load
+            self._witness(server, FULL)
         if server.mark_until <= self.now:
             server.fails += 1
             server.window = max(WINDOW_LEAST, server.window / 2)
             mark, most = self.mark, self.mark_most
             if server.rate < THIN and server.fails >= SUSPECT:
-                # Own set-ups come seconds apart: a short mark skips none of them, and a trial after each by
-                # hundreds of proxies is what keeps a small server down.
+                # Own set-ups come seconds apart: tried by hundreds after each short mark, it stays down.
                 mark = max(mark, int(SECOND / max(server.rate, LEAST_RATE)))
                 most = max(most, self.settings.proxies * SECOND // TRIALS)
             server.mark_until = self.now + min(mark << min(server.fails - 1, 10), most)
 
     def _overtaken(self, server: Server, before: float) -> None:
         """Set-ups sent well before one that now stands, or before all that a report says is waiting, are
-        lost: a processor works in turn. They are called off and are no sign of load. Covers lost answers and
-        restarts in between; costs a try where servers work out of turn or reports are later than QUIET.
+        lost: a processor works in turn. Costs a try where servers work out of turn, or reports come late.
         """
         for number in [number for number, at in server.out.items() if at < before]:
             self._call_off(server, number)
