--- a/wickstep/recovery/journal.py
+++ b/wickstep/recovery/journal.py
@@ -57,32 +57,33 @@
     OSError where the folder cannot be read.
     """
     found = Replayed()
-    whole: dict[int, tuple[str, bytes]] = {}
+    heads: dict[int, str] = {}  # by number
     names = sorted(name for name in os.listdir(folder) if NAME.fullmatch(name))
     for name in names[-FILES_MOST:]:
         try:
-            raw = _read(folder / name, most)
-            number = records.read_head(raw, softswitch)
+            number = records.read_head(_read(folder / name, records.HEAD_BYTES), softswitch)
         except (OSError, records.Foreign) as trouble:
             found.passed.append(f"{name}: {trouble}")
             continue
-        found.number = max(found.number, number)
-        if not any(record.kind is Kind.LIVE for record, _ in records.read(raw)):
-            found.passed.append(f"{name}: its beginning is not whole")
-        elif number in whole:
+        if heads.setdefault(number, name) != name:
             found.passed.append(f"{name}: segment {number} is there twice")
-        else:
-            whole[number] = (name, raw)
-    if not whole:
-        return found
-    _, raw = whole[max(whole)]
-    ledger, whole_to = Ledger(), records.HEAD_BYTES
-    for record, end in records.read(raw):
-        found.used += 1
-        found.unfit += not ledger.apply(record)
-        whole_to = end
-    found.spoilt = len(raw) - whole_to
-    found.live = dict(ledger.live)
+    found.number = max(heads, default=0)
+    for _, name in sorted(heads.items(), reverse=True):
+        try:
+            raw = _read(folder / name, most)
+        except OSError as trouble:
+            found.passed.append(f"{name}: {trouble}")
+            continue
+        ledger, whole_to, used, unfit, whole = Ledger(), records.HEAD_BYTES, 0, 0, False
+        for record, whole_to in records.read(raw):  # noqa: B007
+            used += 1
+            unfit += not ledger.apply(record)
+            whole = whole or record.kind is Kind.LIVE
+        if whole:  # those before it tell nothing that does not stand in its beginning
+            found.used, found.unfit, found.spoilt = used, unfit, len(raw) - whole_to
+            found.live = dict(ledger.live)
+            break
+        found.passed.append(f"{name}: its beginning is not whole")
     return found
 
 
--- a/wickstep/recovery/ledger.py
+++ b/wickstep/recovery/ledger.py
@@ -8,8 +8,8 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
 from enum import Enum
+from typing import NamedTuple
 
 from wickstep.recovery.records import ATTEMPTS_MOST, SERVERS_MOST, Kind, Record
 
@@ -22,8 +22,7 @@
     STANDS = "stands"
 
 
-@dataclass(slots=True, frozen=True)
-class Known:
+class Known(NamedTuple):
     """What is known of a live call. `host` and `born_ms` say where its latest attempt went."""
 
     phase: Phase
@@ -82,7 +81,7 @@
         if known is None or known.phase is not Phase.OUT:
             return False
         phase = Phase.STANDS if record.kind is Kind.STANDS else Phase.TAKEN
-        self.live[record.call] = replace(known, phase=phase)
+        self.live[record.call] = known._replace(phase=phase)
         return True
 
     def _put(self, call: int, known: Known) -> None:
--- a/wickstep/recovery/records.py
+++ b/wickstep/recovery/records.py
@@ -12,8 +12,8 @@
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 MAGIC = b"wkcalls\x01"  # its last byte is the version
 HEAD = struct.Struct(">8s8sQ")
@@ -43,8 +43,7 @@
     """A segment of another softswitch or version, or whose head is not whole."""
 
 
-@dataclass(slots=True, frozen=True)
-class Record:
+class Record(NamedTuple):
     """Times in Unix milliseconds. What a kind has no use for is 0 or empty."""
 
     kind: Kind
