--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -165,7 +165,7 @@
         if not any(s.free >= 1 or not s.lines for s in usable):
             # One that errs is marked for what it wastes. Where nobody has a line, some is better than none.
             usable += [s for s in allowed if s not in usable and s.errors > FAULTY]
-        # Nor one that had no line for it, twice where own set-ups are many: its attempts would all be burnt.
+        # Nor one that had no line for it, on a thin stream once, else twice: attempts would all be burnt.
         usable = [s for s in usable if s is not call.short or s.free >= 1]
         # After an error another server is asked: that tells whose fault it was.
         usable = [s for s in usable if s is not call.erred] or usable
@@ -332,7 +332,7 @@
             if call.erred is not None and (erring is None or erring.errors < FAULTY):
                 return self._fail(event.call)  # twice: no server can use it
             call.erred = erring
-        if event.no_line and (call.attempts > 1 or self.rate < THIN * len(self.active)):
+        if event.no_line and (call.attempts > 1 or 0 < self.rate < THIN * len(self.active) / 4):
             call.short = self.servers.get(event.server)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             call.blocked_until = self.now + self.settings.release_wait
