--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -10,6 +10,7 @@
 
 import os
 import random
+import re
 import sqlite3
 import statistics
 import tempfile
@@ -24,6 +25,7 @@
 from wickstep.rehearsal import run, scenario
 from wickstep.rehearsal.trace import What
 
+STAMP = re.compile(r"\S+ (\d\d):(\d\d):(\d\d),(\d{3}) ")
 STANDING = 400  # calls that stand at any moment
 KILLS = """rehearsal "moments" seed={seed} softswitches=10 lasts-s=16 state="calls" {{
     servers 3 rate=60 lines=400 cold-s=2
@@ -124,6 +126,42 @@
     return moments, broken, sum(second.offered for second in found.seconds)
 
 
+def settling(count: int, state: str, seed: int = 1) -> tuple[list[float], list[float], list[str]]:
+    """A fleet of which seven in ten are killed at once: for each that had calls from before, seconds from the
+    reading of its journal until the last of them was settled; the share served in time by second since the
+    kill; rules broken."""
+    rate = 60 * 4 * 0.6
+    script = scenario.read(
+        f'rehearsal "fleet" seed={seed} softswitches={count} lasts-s=14 state="{state}" {{\n'
+        f"    servers 4 rate=60 lines=600 cold-s=4\n    callers rate={rate} hold-s=2 spread=3\n"
+        '    fault "kill" at=4 part=0.7\n}'
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        rehearsal = run.Rehearsal(script, Path(folder))
+        found = rehearsal.play()
+        took = [seconds for switch in rehearsal.switches for seconds in settled_s(switch.logs())]
+    shares = [second.share for second in found.seconds[4:12]]
+    return took, shares, [breach.rule for breach in found.breaches]
+
+
+def settled_s(log: str) -> list[float]:
+    """From each reading of a journal with calls to their being settled."""
+    times: list[float] = []
+    began = 0.0
+    for line in log.splitlines():
+        found = STAMP.match(line)
+        if found and "the journal of calls:" in line:
+            began = seconds_of(found)
+        elif found and "calls from before are settled" in line:
+            times.append(seconds_of(found) - began)
+    return times
+
+
+def seconds_of(found: re.Match[str]) -> float:
+    hours, minutes, seconds, millis = (int(part) for part in found.groups())
+    return 3600 * hours + 60 * minutes + seconds + millis / 1000
+
+
 def answer_ms(seed: int, state: str) -> float:
     """Median from a set-up to its answer, over a play without faults."""
     with tempfile.TemporaryDirectory() as folder:
@@ -140,8 +178,14 @@
 @click.option("--replay", "live", default=100_000, show_default=True, help="Calls in the replay.")
 @click.option("--moments", default=200, show_default=True, help="Kills of real processes, 20 a play.")
 @click.option("--pairs", default=2, show_default=True)
-def main(calls: int, live: int, moments: int, pairs: int) -> None:
+@click.option("--fleet", default=0, show_default=True, help="Softswitches of which 70% are killed at once.")
+def main(calls: int, live: int, moments: int, pairs: int, fleet: int) -> None:
     """Print all of it."""
+    for state in ("kept", "calls") if fleet else ():
+        times, shares, rules = settling(fleet, state)
+        last = f"{len(times)} journals settled, the last after {max(times):.1f} s; " if times else ""
+        served = " ".join(f"{100 * share:.0f}" for share in shares)
+        click.echo(f"{fleet} softswitches, state {state}: {last}% in time by second {served}; {rules}")
     assert SYNCS == (NEVER, BATCH, TURN)
     for sync in SYNCS:
         count = calls if sync != TURN else calls // 20
