Owe a call's end to its caller across a restart, until that has confirmed to have heard it

Cause (200 kills of real processes at drawn moments, benchmarks/calls.py): one call in 1,600 was never told of its end. Its server had said so to a softswitch that had just come back; that confirmed it, found no caller connected yet, noted the call as ended, and was killed. Ruled out: the server's repeats (it had been confirmed), spoilt segments (0 bytes). The other breaches were the rig's: killed again before its start, a softswitch was started twice, and the second found its address in use.

The rig starts a softswitch once. Test: a call that is over is owed until it was heard; it fails without the change.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -244,6 +244,22 @@
     assert replay(tmp_path, "n1", MOST).live[1].sent_ms == 0
 
 
+def test_a_call_that_is_over_is_owed_to_its_caller_until_that_has_heard_so(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, "n1", MOST, NEVER)
+    journal.open(0)
+    for call in (1, 2, 3):
+        journal.sent(call, 0, "a", 0)
+        journal.stands(call)
+        journal.over(call)  # its server has said so, and its caller is told next
+    journal.ended(1)  # which that confirms
+    journal.turn(1)
+    again = Journal(tmp_path, "n1", MOST, NEVER)
+    found = again.open(2)
+    assert {call: known.phase for call, known in found.live.items()} == {2: Phase.ENDING, 3: Phase.ENDING}
+    again.turn(journals.HEARD_US + 2)
+    assert replay(tmp_path, "n1", MOST).live == {}
+
+
 # What becomes of each call.
 
 STOOD = Known(Phase.STANDS, "a", 1000, 0, 0)
@@ -269,6 +285,7 @@
         (STOOD, View(True, 1000, None), 4.9, None),
         (STOOD, View(True, 1000, None), 5.0, Verdict.RELEASED),
         (STOOD, View(True, 1000, int(4.5 * SECOND)), 5.2, Verdict.RELEASED),  # came up too late to confirm
+        (STOOD._replace(phase=Phase.ENDING), HERE, 0.1, Verdict.CUT),  # its caller may not have heard
         (OUT, HERE, 0.1, Verdict.GIVEN_UP),
         (OUT, View(True, 2000, 0), 0.1, Verdict.SETTLED),
         (OUT, None, 0.1, Verdict.SETTLED),
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -473,7 +473,7 @@
 
     def drop(self, attempt: Attempt) -> None:
         """Take an attempt that is over out of the tables."""
-        (self.floor.notes.ended if attempt.stands else self.floor.notes.over)(attempt.call.wire)
+        self.floor.notes.over(attempt.call.wire)
         attempt.server.attempts.pop(attempt.call.wire, None)
         self.floor.standing.pop(attempt.call.wire, None)
         if attempt in attempt.server.waiting:
@@ -813,11 +813,13 @@
             if host or (message.call not in self.book.ended and self.book.inherited()):
                 # A call of this softswitch's life before its restart: whichever server has it will know.
                 self.book.remember(message.call)
+                self.floor.notes.ended(message.call)
                 for server in self.floor.servers.values():
                     if server.link is not None and host in (None, server.host):
                         server.link.send(Release(message.call, message.reason))
             return False
         self.send.drop(attempt)
+        self.floor.notes.ended(message.call)
         self.book.remember(message.call)
         self.floor.counts["calls_hung_up"] += 1
         link = attempt.server.link or attempt.link
@@ -1239,6 +1241,7 @@
                 self.take_in.test(link, message)
             case ReleaseHeard():
                 link.unheard.pop(message.call, None)
+                self.floor.notes.ended(message.call)
             case Progress():
                 pass
             case _:
--- a/wickstep/recovery/journal.py
+++ b/wickstep/recovery/journal.py
@@ -13,13 +13,14 @@
 import stat
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from wickstep.net import links
 from wickstep.recovery import records
-from wickstep.recovery.ledger import Known, Ledger
+from wickstep.recovery.ledger import Known, Ledger, Phase
 from wickstep.recovery.notes import Notes
 from wickstep.recovery.records import Kind, Record
 
@@ -30,6 +31,7 @@
 PARTS = 3  # of the bound: a segment is one, and two are there while one follows the other
 SYNC_S = 0.05
 AGAIN_US = 10_000_000  # after a failure it is tried again
+HEARD_US = 10_000_000  # a caller that has not confirmed a release by then is taken to have heard it
 NEVER, BATCH, TURN = "never", "each-batch", "each-turn"
 SYNCS = (NEVER, BATCH, TURN)
 
@@ -114,6 +116,7 @@
         self._unsynced = False
         self._old: list[Path] = []  # to be deleted once the new segment is safe
         self.failures = self.written = 0
+        self._ending: deque[tuple[int, int]] = deque()  # since when, which call
 
     def open(self, now: int) -> Replayed:
         """Read what is there and begin a segment with it."""
@@ -124,6 +127,7 @@
             found = Replayed(passed=[str(trouble)])
         self._number = found.number
         self.ledger.live.update(found.live)
+        self._ending.extend((now, call) for call, k in found.live.items() if k.phase is Phase.ENDING)
         self._begin()
         if self._sync == BATCH:
             links.spawn(self._run)
@@ -147,6 +151,9 @@
 
     def over(self, call: int) -> None:
         self._note(Record(Kind.OVER, call))
+        known = self.ledger.live.get(call)
+        if known is not None and known.phase is Phase.ENDING:
+            self._ending.append((self._now, call))
 
     def stands(self, call: int) -> None:
         self._note(Record(Kind.STANDS, call))
@@ -157,6 +164,8 @@
 
     def turn(self, now: int) -> None:
         self._now = now
+        while self._ending and self._ending[0][0] <= now - HEARD_US:
+            self.ended(self._ending.popleft()[1])
         if self._waiting:
             self._flush()
         if self._sync == TURN and self._unsynced:
--- a/wickstep/recovery/ledger.py
+++ b/wickstep/recovery/ledger.py
@@ -20,6 +20,14 @@
     TAKEN = "taken"  # no attempt is out
     OUT = "out"  # one is, or was when the record ends
     STANDS = "stands"
+    ENDING = "ending"  # what stood is over, and its caller has not confirmed to have heard so
+
+
+NEXT = {
+    (Phase.OUT, Kind.OVER): Phase.TAKEN,
+    (Phase.OUT, Kind.STANDS): Phase.STANDS,
+    (Phase.STANDS, Kind.OVER): Phase.ENDING,
+}
 
 
 class Known(NamedTuple):
@@ -78,9 +86,9 @@
                 return False
             self._put(record.call, Known(Phase.OUT, *where, min(record.attempt, ATTEMPTS_MOST), record.at_ms))
             return True
-        if known is None or known.phase is not Phase.OUT:
+        phase = NEXT.get((known.phase, record.kind)) if known is not None else None
+        if known is None or phase is None:
             return False
-        phase = Phase.STANDS if record.kind is Kind.STANDS else Phase.TAKEN
         self.live[record.call] = known._replace(phase=phase)
         return True
 
@@ -105,5 +113,7 @@
                 continue  # more servers than numbers: cannot be by the bound on calls
             yield Record(Kind.SENT, call, number, known.attempts, known.sent_ms)
             if known.phase is not Phase.OUT:
-                yield Record(Kind.STANDS if known.phase is Phase.STANDS else Kind.OVER, call)
+                yield Record(Kind.OVER if known.phase is Phase.TAKEN else Kind.STANDS, call)
+            if known.phase is Phase.ENDING:
+                yield Record(Kind.OVER, call)
         yield Record(Kind.LIVE)
--- a/wickstep/recovery/notes.py
+++ b/wickstep/recovery/notes.py
@@ -18,13 +18,14 @@
         """An attempt is about to go out; `attempt` counts from 0, `born_ms` is its server's start."""
 
     def over(self, call: int) -> None:
-        """The attempt that was out has ended, and the call has not."""
+        """The attempt that was out has ended, and the call has not; or what stood is over, and its caller is
+        told."""
 
     def stands(self, call: int) -> None:
         """The call stands; its caller has not been told yet."""
 
     def ended(self, call: int) -> None:
-        """It has its final answer and does not stand, or what stood is over."""
+        """It has its final answer and does not stand; or its caller has ended it, or confirmed its end."""
 
     def turn(self, now: int) -> None:
         """The loop has turned."""
--- a/wickstep/recovery/records.py
+++ b/wickstep/recovery/records.py
@@ -33,9 +33,9 @@
     SERVER = 1  # a number for a host and its start
     TAKEN = 2
     SENT = 3  # an attempt goes out; when, in Unix milliseconds
-    OVER = 4  # that attempt has ended, the call has not
+    OVER = 4  # that attempt has ended, the call has not; or what stood is over, which its caller has to hear
     STANDS = 5
-    ENDED = 6  # the call has its final answer and does not stand, or has come to its end
+    ENDED = 6  # nothing is owed to anybody any more
     LIVE = 7  # all that was live when the segment began stands before this
 
 
--- a/wickstep/recovery/returning.py
+++ b/wickstep/recovery/returning.py
@@ -57,9 +57,9 @@
         return found
 
     def _heard(self, call: int) -> None:
-        """A call from before has come to its end, or is about to be ended here."""
+        """A call from before has come to its end, or is about to be ended here: its caller is told next."""
         self.settling.ended(call)
-        self.journal.ended(call)
+        self.journal.over(call)
 
     def go_on(self) -> None:
         floor = self.floor
@@ -91,10 +91,11 @@
             case Verdict.CONFIRMED:
                 return  # it stands on, in the table of calls from before
             case Verdict.CUT | Verdict.RELEASED:
-                if self.floor.bequest.take(call) is not None:
+                if self.floor.bequest.take(call) is not None or step.known.phase is Phase.ENDING:
                     self.take_in.book.released(Release(call, Reason.INTERRUPTED), None)
                 if step.verdict is Verdict.RELEASED:
                     self._owe(host, call)
+                return  # ended once its caller has heard
             case Verdict.GIVEN_UP:
                 self._owe(host, call)
         self.journal.ended(call)
--- a/wickstep/recovery/settling.py
+++ b/wickstep/recovery/settling.py
@@ -98,6 +98,8 @@
         """None: not yet."""
         view = views.get(known.host)
         stands = known.phase is Phase.STANDS
+        if known.phase is Phase.ENDING:
+            return Verdict.CUT  # its caller may not have heard
         if known.phase is Phase.TAKEN:
             return Verdict.SETTLED  # never sent, or its attempt had ended: its caller's connection is gone
         if view is None or not view.there or view.born_ms > known.born_ms:
--- a/wickstep/rehearsal/run.py
+++ b/wickstep/rehearsal/run.py
@@ -80,6 +80,7 @@
             scenario.callers, self.loop, self.sky, self.trace, where, scenario.seed + 1, len(self.servers)
         )
         self.ready_s = 0.0
+        self.returning: set[int] = set()  # killed, and to be started again
 
     def play(self) -> report.Report:
         """Play it to its end; everything that was started is ended then."""
@@ -127,6 +128,7 @@
         )  # fmt: skip
 
     def _start(self, switch: Softswitch) -> None:
+        self.returning.discard(switch.number)
         switch.start(
             {
                 "seed": f"{self.random.randrange(2**63):x}",
@@ -151,7 +153,9 @@
                 for number in hit:
                     self._down(number)
                     self.switches[number].kill()
-                    self.loop.after(fault.back_s, partial(self._start, self.switches[number]))
+                    if number not in self.returning:  # killed again before it was started again
+                        self.returning.add(number)
+                        self.loop.after(fault.back_s, partial(self._start, self.switches[number]))
             case "stall":
                 for number in hit:
                     self._down(number)
