Let one piece serve where the same stood twice, and take out what nothing read

Read over; behaviour stays as it is. One reader of KDL files for serve, rehearse and model; one place that makes the list's time of a server's start (three before); one bounded reader of a user's own file for envelopes and segments; the words of sync stand in the plan alone; what is a trial is the brain's SUSPECT; set-ups and capacity by second are made once for measure and plot. Settling keeps its calls in a table: an end that is heard no longer rebuilds the whole queue, and its steps need no places. Out: counts and fields that nothing read, a flag that could not be set twice, sums over classes made again for each call. One log text differs: a stored file that is too large is told by its bound, no longer by its size.

--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from datetime import datetime
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import click
 import ujson
@@ -23,6 +23,8 @@
     from wickstep.numbering.table import Table
     from wickstep.recovery.store import Store
 
+T = TypeVar("T")
+
 
 @click.group()
 def main() -> None:
@@ -149,18 +151,24 @@
     softswitch.leave()
 
 
+def read_form(path: Path, reader: Callable[[str], T]) -> T:
+    """An operator's file in KDL, as its own reader makes it; a ClickException says what is wrong with it."""
+    from wickstep.forms import BadForm
+
+    try:
+        return reader(path.read_text())
+    except (OSError, BadForm, UnicodeDecodeError) as trouble:
+        raise click.ClickException(f"{path}: {trouble}") from trouble
+
+
 def store_by(path: Path | None, softswitch_name: str) -> Store | None:
     """Where what is learned is kept over restarts; None where it is not."""
     if path is None:
         return None
-    from wickstep.forms import BadForm
     from wickstep.recovery import plan
     from wickstep.recovery.store import Store
 
-    try:
-        return Store(plan.read(path.read_text()), softswitch_name)
-    except (OSError, BadForm, UnicodeDecodeError) as trouble:
-        raise click.ClickException(f"{path}: {trouble}") from trouble
+    return Store(read_form(path, plan.read), softswitch_name)
 
 
 def analysis_by(
@@ -200,13 +208,9 @@
     import tempfile
     from dataclasses import replace
 
-    from wickstep.forms import BadForm
     from wickstep.rehearsal import processes, report, run, scenario
 
-    try:
-        script = scenario.read(scenario_path.read_text())
-    except (OSError, BadForm, UnicodeDecodeError) as trouble:
-        raise click.ClickException(f"{scenario_path}: {trouble}") from trouble
+    script = read_form(scenario_path, scenario.read)
     if seed is not None:
         script = replace(script, seed=seed)
     with tempfile.TemporaryDirectory(prefix="wickstep-rehearsal-") as folder:
@@ -228,12 +232,8 @@
 
     from wickstep.fleet import plan, report
     from wickstep.fleet.model import Model
-    from wickstep.forms import BadForm
 
-    try:
-        script = plan.read(plan_path.read_text())
-    except (OSError, BadForm, UnicodeDecodeError) as trouble:
-        raise click.ClickException(f"{plan_path}: {trouble}") from trouble
+    script = read_form(plan_path, plan.read)
     outcome = Model(script if seed is None else replace(script, seed=seed)).play()
     click.echo("\n".join(report.lines(outcome)))
     if json_path is not None:
--- a/wickstep/fleet/edge.py
+++ b/wickstep/fleet/edge.py
@@ -34,7 +34,6 @@
     deadline: int
     repeat: bool
     hold: int
-    first_asked: int
     attempts: int = 0
     server: Processor | None = None  # where the one attempt is out
     ended: bool = False
@@ -176,7 +175,7 @@
             if took <= PROBE_WAIT:
                 self.tell(api.ProbeAnswered(name, True, took, server.report()))
 
-        self.model.probes += 1
+        self.model.out.probes += 1
         self.clock.after(self._way(server), server.probe, answered)
 
     # Final answers.
--- a/wickstep/fleet/model.py
+++ b/wickstep/fleet/model.py
@@ -31,6 +31,7 @@
     (0.05, 0.8, 0.67, 0.6, 6.0, 0.25),
     (0.22, 1.0, 1.0, 0.8, 3.0, 0.1),
 )
+PARTS = [*accumulate(part for part, *_ in CLASSES)]
 NOTICE_S = 1.0  # a list comes so much later, at most
 CALLER_PAUSE_S = (0.5, 1.5)  # before a refused caller tries again
 REST_S = 2.0  # after the last call
@@ -108,14 +109,6 @@
         self._wish()
         self.rate = plan.crowd.rate
 
-    @property
-    def probes(self) -> int:
-        return self.out.probes
-
-    @probes.setter
-    def probes(self, count: int) -> None:
-        self.out.probes = count
-
     def settings(self) -> api.Settings:
         plan = self.plan
         crowd = plan.crowd
@@ -149,7 +142,7 @@
             server.born = born
         self.servers[name] = server
         self.worked[name] = 0
-        life = self.record.servers[name] = ServerLife(lines=float(kind.lines))
+        life = self.record.servers[name] = ServerLife()
         done = int(self.clock.at / BIN_S)
         life.able, life.idle = [0.0] * done, [0.0] * done
         self.clock.after(int(self.random.random() * self.plan.tariff.report_s * SECOND), server.look)
@@ -209,7 +202,7 @@
             return
         self.clock.after(int(self.random.expovariate(self.rate) * SECOND), self._next_call)
         edge = self.edges[self._drawn(self.traffic)]
-        klass = self._drawn([*accumulate(part for part, *_ in CLASSES)])
+        klass = self._drawn(PARTS)
         wanted = self.wanted[self._drawn(self.wishes)]
         fate = Fate(self.clock.now, klass)
         self.out.fates.append(fate)
@@ -229,7 +222,7 @@
         held = int(self.random.expovariate(1 / (crowd.hold_s * hold)) * SECOND)
         call = Call(
             number, now, wanted, klass, int(crowd.aim_s * aim * SECOND),
-            now + int(crowd.wait_s * wait * SECOND), repeat, held, fate.asked,
+            now + int(crowd.wait_s * wait * SECOND), repeat, held,
         )  # fmt: skip
         self.fates[(edge.number, number)] = fate
         edge.take(call)
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -242,6 +242,10 @@
         self.bequest = Bequest()
         self.notes = Notes()  # of each call, for its journal where one is kept
 
+    def born_ms(self, server: Server) -> int:
+        """The start of a server in Unix milliseconds, as the list tells it; 0: long ago."""
+        return (server.born + self.unix_at_zero) // MS if server.born else 0
+
     def at(self, due: int, do: Callable[[], None]) -> None:
         heapq.heappush(self.timers, (due, next(self.order), do))
 
@@ -453,8 +457,8 @@
         wait_ms = max((attempt.last_at - self.floor.now) // MS, 1)
         onward = SetUp(call.wire, call.set_up.klass, wait_ms, call.set_up.number, call.set_up.description)
         if server.link is not None:
-            born = server.born + self.floor.unix_at_zero if server.born else 0
-            self.floor.notes.sent(call.wire, attempt.index, server.host, born // MS)
+            born_ms = self.floor.born_ms(server)
+            self.floor.notes.sent(call.wire, attempt.index, server.host, born_ms)
         if server.link is not None and server.link.send(onward):
             attempt.link = server.link
             self.floor.counts["set_ups_sent"] += 1
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -41,6 +41,7 @@
         self.floor, self.take_in, self.store = floor, take_in, store
         self.seen = floor.mode.state  # the state that was carried out last,
         self.since = floor.now  # and when
+        self.looks_at = 0  # when connections are looked at next
         self.discovered = self.ejected = 0
         desk = calls.Desk(self.status, self.figures, floor.mode.tell)
         self.front = Front(floor.config.operator, desk) if floor.config.operator else None
@@ -144,8 +145,6 @@
                 floor.counts["callers_sent_away"] += 1
                 self.take_in.drop(link)
 
-    looks_at = 0  # when connections are looked at next
-
     def divide(self) -> None:
         """Several processes of one softswitch have one softswitch's part between them.
 
@@ -166,8 +165,7 @@
 
     def born_ms(self) -> dict[str, int]:
         """The starts of the servers as the list tells them: each process has a zero of its own."""
-        zero = self.floor.unix_at_zero
-        return {s.host: (s.born + zero) // 1000 if s.born else 0 for s in self.floor.servers.values()}
+        return {server.host: self.floor.born_ms(server) for server in self.floor.servers.values()}
 
     def keep(self) -> None:
         """Hand what the controller has learned to the thread that writes it."""
--- a/wickstep/recovery/envelope.py
+++ b/wickstep/recovery/envelope.py
@@ -66,27 +66,24 @@
         raise
 
 
+def own_bytes(path: Path, most: int) -> bytes:
+    """At most so many bytes of a plain file of this user; OSError."""
+    descriptor = os.open(path, os.O_RDONLY | os.O_NOFOLLOW | os.O_NONBLOCK | os.O_CLOEXEC)
+    with os.fdopen(descriptor, "rb") as file:
+        found = os.fstat(descriptor)
+        if not stat.S_ISREG(found.st_mode) or found.st_uid != os.geteuid():
+            raise OSError("no file of this user")
+        return file.read(most)
+
+
 def read(path: Path, kind: str, most: int) -> Any | None:
     """The content of a file of at most so many bytes, None where there is none; raises Spoilt."""
     try:
-        descriptor = os.open(path, os.O_RDONLY | os.O_NOFOLLOW | os.O_NONBLOCK)
+        raw = own_bytes(path, most + 1)
     except FileNotFoundError:
         return None
     except OSError as trouble:
         raise Spoilt(str(trouble)) from trouble
-    try:
-        found = os.fstat(descriptor)
-        if not stat.S_ISREG(found.st_mode) or found.st_uid != os.geteuid():
-            raise Spoilt("no file of this user")
-        if found.st_size > most:
-            raise Spoilt(f"{found.st_size} bytes, {most} at most")
-        raw = b""
-        while len(raw) <= most and (data := os.read(descriptor, most + 1 - len(raw))):
-            raw += data
-    except OSError as trouble:
-        raise Spoilt(str(trouble)) from trouble
-    finally:
-        os.close(descriptor)
     if len(raw) > most:
         raise Spoilt(f"more than {most} bytes")
     return unseal(kind, raw)
--- a/wickstep/recovery/journal.py
+++ b/wickstep/recovery/journal.py
@@ -10,7 +10,6 @@
 import logging
 import os
 import re
-import stat
 import threading
 import time
 from collections import deque
@@ -19,7 +18,8 @@
 from pathlib import Path
 
 from wickstep.net import links
-from wickstep.recovery import records
+from wickstep.recovery import plan, records
+from wickstep.recovery.envelope import own_bytes
 from wickstep.recovery.ledger import Known, Ledger, Phase
 from wickstep.recovery.notes import Notes
 from wickstep.recovery.records import Kind, Record
@@ -32,8 +32,7 @@
 SYNC_S = 0.05
 AGAIN_US = 10_000_000  # after a failure it is tried again
 HEARD_US = 10_000_000  # a caller that has not confirmed a release by then is taken to have heard it
-NEVER, BATCH, TURN = "never", "each-batch", "each-turn"
-SYNCS = (NEVER, BATCH, TURN)
+SYNCS = NEVER, BATCH, TURN = plan.SYNCS
 
 
 @dataclass(slots=True)
@@ -43,7 +42,6 @@
     live: dict[int, Known] = field(default_factory=dict)
     number: int = 0  # the largest of a segment that is there
     used: int = 0  # records
-    unfit: int = 0  # records that fitted no state
     spoilt: int = 0  # bytes beyond the first that is not whole
     passed: list[str] = field(default_factory=list)  # segments that were not used, and why
 
@@ -63,7 +61,7 @@
     names = sorted(name for name in os.listdir(folder) if NAME.fullmatch(name))
     for name in names[-FILES_MOST:]:
         try:
-            number = records.read_head(_read(folder / name, records.HEAD_BYTES), softswitch)
+            number = records.read_head(own_bytes(folder / name, records.HEAD_BYTES), softswitch)
         except (OSError, records.Foreign) as trouble:
             found.passed.append(f"{name}: {trouble}")
             continue
@@ -72,33 +70,23 @@
     found.number = max(heads, default=0)
     for _, name in sorted(heads.items(), reverse=True):
         try:
-            raw = _read(folder / name, most)
+            raw = own_bytes(folder / name, most)
         except OSError as trouble:
             found.passed.append(f"{name}: {trouble}")
             continue
-        ledger, whole_to, used, unfit, whole = Ledger(), records.HEAD_BYTES, 0, 0, False
+        ledger, whole_to, used, whole = Ledger(), records.HEAD_BYTES, 0, False
         for record, whole_to in records.read(raw):  # noqa: B007
             used += 1
-            unfit += not ledger.apply(record)
+            ledger.apply(record)
             whole = whole or record.kind is Kind.LIVE
         if whole:  # those before it tell nothing that does not stand in its beginning
-            found.used, found.unfit, found.spoilt = used, unfit, len(raw) - whole_to
+            found.used, found.spoilt = used, len(raw) - whole_to
             found.live = dict(ledger.live)
             break
         found.passed.append(f"{name}: its beginning is not whole")
     return found
 
 
-def _read(path: Path, most: int) -> bytes:
-    """At most so many bytes of a plain file of this user."""
-    descriptor = os.open(path, os.O_RDONLY | os.O_NOFOLLOW | os.O_NONBLOCK | os.O_CLOEXEC)
-    with os.fdopen(descriptor, "rb") as file:
-        found = os.fstat(descriptor)
-        if not stat.S_ISREG(found.st_mode) or found.st_uid != os.geteuid():
-            raise OSError("no file of this user")
-        return file.read(most)
-
-
 class Journal(Notes):
     """Kept by the loop's thread; `zero_us` is what makes Unix time of the loop's clock."""
 
@@ -261,7 +249,7 @@
     def _own(self, path: Path) -> bool:
         """Whether a segment is this softswitch's: nobody else's is ever deleted."""
         try:
-            records.read_head(_read(path, records.HEAD_BYTES), self._softswitch)
+            records.read_head(own_bytes(path, records.HEAD_BYTES), self._softswitch)
         except (OSError, records.Foreign):
             return False
         return True
--- a/wickstep/recovery/returning.py
+++ b/wickstep/recovery/returning.py
@@ -36,7 +36,6 @@
         self.settling = Settling({}, floor.now, pace, confirm_us, 0.0)
         self.owed: dict[str, list[int]] = defaultdict(list)  # by server
         self._owed_until = 0
-        self._settled = False
 
     def begin(self) -> Replayed:
         """Before the first caller, with the list of servers heard."""
@@ -68,17 +67,15 @@
         self._pay()
         if len(self.settling) or (self.owed and floor.now < self._owed_until):
             floor.at(floor.now + EVERY_US, self.go_on)
-        elif not self._settled and any(self.settling.verdicts.values()):
-            self._settled = True
+        elif any(self.settling.verdicts.values()):
             told = ", ".join(f"{v.value} {count}" for v, count in self.settling.verdicts.items() if count)
             log.warning("calls from before are settled: %s", told)
 
     def views(self) -> dict[str, View]:
-        zero = self.floor.unix_at_zero
         return {
             server.host: View(
                 server.state is not ServerState.GONE,
-                (server.born + zero) // 1000 if server.born else 0,
+                self.floor.born_ms(server),
                 server.linked_at if server.link is not None else None,
             )
             for server in self.floor.servers.values()
--- a/wickstep/recovery/settling.py
+++ b/wickstep/recovery/settling.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from wickstep.recovery.ledger import Known, Phase
 
@@ -55,7 +55,7 @@
         self._first = began + int(drawn * START_SPREAD_S * SECOND)
         self._pace = pace  # calls a second
         self._credit, self._credit_at = 0.0, self._first
-        self._waiting = deque(found.items())
+        self._waiting = dict(found)  # in the order in which they are looked at next
         self.verdicts = dict.fromkeys(Verdict, 0)
 
     def __len__(self) -> int:
@@ -64,7 +64,7 @@
 
     def ended(self, call: int) -> None:
         """Its end has been heard: nothing is left to be settled."""
-        self._waiting = deque(item for item in self._waiting if item[0] != call)
+        self._waiting.pop(call, None)
 
     def steps(self, views: Mapping[str, View], now: int) -> list[Step]:
         """What to do now; cuts first, since their callers hold dead calls."""
@@ -73,25 +73,21 @@
         self._credit += self._pace * (now - self._credit_at) / SECOND
         self._credit = min(self._credit, max(self._pace * BURST_S, 1.0))
         self._credit_at = now
-        looked = [self._waiting.popleft() for _ in range(min(len(self._waiting), LOOK_MOST))]
-        judged = [(item, self._verdict(item[1], views, now)) for item in looked]
-        order = sorted(
-            (place for place, (_, verdict) in enumerate(judged) if verdict is not None),
-            key=lambda place: judged[place][1] is not Verdict.CUT,
-        )
-        done: set[int] = set()
+        looked = [*islice(self._waiting.items(), LOOK_MOST)]
+        judged = [Step(call, known, v) for call, known in looked if (v := self._verdict(known, views, now))]
+        judged.sort(key=lambda step: step.verdict is not Verdict.CUT)
         steps: list[Step] = []
-        for place in order:
-            (call, known), verdict = judged[place]
-            assert verdict is not None
-            if verdict in (Verdict.CUT, Verdict.RELEASED, Verdict.GIVEN_UP):  # somebody is told
+        for step in judged:
+            if step.verdict in (Verdict.CUT, Verdict.RELEASED, Verdict.GIVEN_UP):  # somebody is told
                 if self._credit < 1:
                     continue
                 self._credit -= 1
-            done.add(place)
-            self.verdicts[verdict] += 1
-            steps.append(Step(call, known, verdict))
-        self._waiting.extend(item for place, (item, _) in enumerate(judged) if place not in done)
+            self.verdicts[step.verdict] += 1
+            steps.append(step)
+            del self._waiting[step.call]
+        for call, known in looked:
+            if self._waiting.pop(call, None) is not None:
+                self._waiting[call] = known  # behind those that were not looked at
         return steps
 
     def _verdict(self, known: Known, views: Mapping[str, View], now: int) -> Verdict | None:
--- a/wickstep/spread/measures.py
+++ b/wickstep/spread/measures.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from wickstep.spread.reasons import Why
@@ -67,17 +67,26 @@
     return counts
 
 
+def by_second(
+    counts: Mapping[str, Sequence[int]], able: Mapping[str, Sequence[float]]
+) -> Iterator[tuple[dict[str, int], dict[str, float]]]:
+    """For each whole second, by server: the set-ups that came, and those that it could do."""
+    length = min((len(one) for one in counts.values()), default=0)
+    for begin in range(0, length - SECOND_BINS + 1, SECOND_BINS):
+        span = slice(begin, begin + SECOND_BINS)
+        yield (
+            {name: sum(counts[name][span]) for name in counts},
+            {name: sum(able[name][span]) * BIN_S for name in counts},
+        )
+
+
 def peak_over_mean(
     counts: Mapping[str, Sequence[int]], able: Mapping[str, Sequence[float]]
 ) -> tuple[list[float], list[float]]:
     """For each whole second with set-ups: the largest (set-ups over capacity) of a server over that of all
     together; and what independent draws by capacity would give, by the largest of normal deviates."""
     peaks, chances = [], []
-    length = min((len(one) for one in counts.values()), default=0)
-    for begin in range(0, length - SECOND_BINS + 1, SECOND_BINS):
-        span = slice(begin, begin + SECOND_BINS)
-        came = {name: sum(counts[name][span]) for name in counts}
-        could = {name: sum(able[name][span]) * BIN_S for name in counts}
+    for came, could in by_second(counts, able):
         there = [name for name in counts if could[name] > 0]
         total, capacity = sum(came[name] for name in there), sum(could[name] for name in there)
         if not total:
--- a/wickstep/spread/reasons.py
+++ b/wickstep/spread/reasons.py
@@ -7,7 +7,7 @@
 
 from enum import Enum
 
-TRIAL_FROM = 2  # failures in a row after which a set-up to a server is a trial
+from wickstep.brain import SUSPECT
 
 
 class Why(Enum):
@@ -20,7 +20,7 @@
 def reason(attempt: int, wanted: int, number: int, fails: int) -> Why:
     """`attempt` counts from 0; `wanted` is the number of the first choice, `number` that of the server, which
     has failed `fails` times in a row so far."""
-    if fails >= TRIAL_FROM:
+    if fails >= SUSPECT:
         return Why.TRIAL
     if attempt > 0:
         return Why.RETRY
--- a/wickstep/spread/record.py
+++ b/wickstep/spread/record.py
@@ -28,7 +28,6 @@
 
     able: list[float] = field(default_factory=list)  # set-ups a second
     idle: list[float] = field(default_factory=list)  # part of it without work; -1: unknown
-    lines: float = 0.0  # most calls that may stand there; 0: not known
 
 
 @dataclass(slots=True)
--- a/wickstep/spread/report.py
+++ b/wickstep/spread/report.py
@@ -103,7 +103,7 @@
 
 
 def page(title: str, record: Record, phases: Sequence[Phase]) -> str:
-    """The same as one page of HTML with a plot; needs the extra `reports`."""
+    """The same as one page of HTML with a plot; needs the development requirements."""
     import jinja2
 
     rows = [
@@ -122,10 +122,8 @@
 
     counts = measures.arrivals(record, 0, record.bins())
     everyone, most, least = [], [], []
-    for begin in range(0, record.bins() - measures.SECOND_BINS + 1, measures.SECOND_BINS):
-        span = slice(begin, begin + measures.SECOND_BINS)
-        came = {name: sum(counts[name][span]) for name in counts}
-        could = {name: sum(life.able[span]) * BIN_S for name, life in record.servers.items()}
+    able = {name: life.able for name, life in record.servers.items()}
+    for came, could in measures.by_second(counts, able):
         loads = [came[name] / could[name] for name in counts if could[name]]
         total = sum(could.values())
         everyone.append(sum(came.values()) / total if total else None)
