Take signals from the first moment on: SIGHUP before a process was ready ended it

Seen by reading: serve put its handlers in place after the configuration was read, the settings were taken apart and the callers' address was bound. A SIGHUP in that time, as when discovery moves during a rolling restart, ended the process, which is a crash; a SIGTERM ended it with whatever had connected meanwhile. Ruled out: a handler that misses the switch (it asked an object that was there) and a lost reload later on.

--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -127,24 +127,24 @@
         level=logging.INFO if verbose else logging.WARNING,
         format="%(asctime)s %(name)s %(message)s",
     )
+    switch: softswitch.Softswitch | None = None
+    early: list[str] = []  # what was asked before there was one to ask
+
+    def asks(what: str) -> Callable[..., None]:
+        return lambda *_: early.append(what) if switch is None else setattr(switch, what, True)
+
+    # Before the configuration is read and anything listens: the default of each would end the process, with
+    # what has come meanwhile, and a change that SIGHUP tells of is read right below or again later.
+    signal.signal(signal.SIGTERM, asks("stop_asked"))
+    signal.signal(signal.SIGINT, asks("stop_asked"))
+    signal.signal(signal.SIGHUP, asks("reload_asked"))
+    signal.signal(signal.SIGUSR1, asks("counts_asked"))
     threading.stack_size(links.STACK)
     config = read(path)
     store = store_by(recovery_path, config.name)
     switch = softswitch.Softswitch(config, lambda: read(path), analysis_by(numbers_path), store)
-
-    def stop(*_: object) -> None:
-        switch.stop_asked = True
-
-    def reload(*_: object) -> None:
-        switch.reload_asked = True
-
-    def count(*_: object) -> None:
-        switch.counts_asked = True
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGHUP, reload)  # its default would end the process
-    signal.signal(signal.SIGUSR1, count)
+    for what in early:
+        setattr(switch, what, True)
     host, port = switch.listener.where
     click.echo(f"{switch.floor.config.name} listens on {host}:{port}", err=True)
     switch.run()
