Let an old bulletin's late answer change nothing once discovery has moved

Seen by reading: move() wakes a call that waits, but an answer that was whole at that moment was handed on all the same, and raised the number from which the new address is asked. Ruled out: a call made to the old address after the move, which is checked.

What an answer tells is handed on under the lock that move() takes, after a look whether the address is still the one. The test moves between the answer's last byte and its reading; without the change nothing is raised and the event is taken.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -671,10 +671,12 @@
     assert town.switch is not None
     town.switch.stop_asked = True
     wait_for(lambda: town.switch is not None and town.switch.floor.stopping_at > 0)
-    late = town.call(town.caller())  # the front has not noticed yet
+    newcomer = town.caller()
+    late = town.call(newcomer)  # the front has not noticed yet
     trunk.hear(SetUp, late)
     trunk.say(Answer(late, b"accept"), Answer(call, b"accept"))
     caller.hear(Answer, call)
+    newcomer.hear(Answer, late)
     town.thread.join(PATIENCE)
     assert not town.thread.is_alive()
 
@@ -1010,6 +1012,31 @@
     wait_for(lambda: called.qsize() == 3)
 
 
+def test_what_the_old_bulletin_says_after_a_move_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    heard: list[bulletin.Roster] = []
+    old = socket.create_server(("127.0.0.1", 0))
+    client = bulletin.Client(f"127.0.0.1:{old.getsockname()[1]}", 3, heard.append)
+    real = bulletin.read_events
+
+    def read_events(answer: Any) -> tuple[int, list[bulletin.Roster]]:
+        client.move("127.0.0.1:9")  # the answer is whole, and now SIGHUP comes
+        return real(answer)
+
+    monkeypatch.setattr(bulletin, "read_events", read_events)
+
+    def answer() -> None:
+        sock = old.accept()[0]
+        sock.recv(4096)
+        body = json.dumps({"no": 4, "items": [{"no": 4, "roster": {"whole": False, "hosts": []}}]})
+        sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    threading.Thread(target=answer, daemon=True).start()
+    with pytest.raises(bulletin.BadAnswer):
+        client.once()
+    assert heard == []
+    assert client._after == 3  # asked for again where it is now
+
+
 def test_an_address_that_is_none_fails_like_any_other() -> None:
     inbox: links.Inbox = SimpleQueue()
     links.dial("127.0.0.1:99999", 500_000, inbox, None, links.Reader())
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -146,14 +146,17 @@
                 self._moved.clear()
 
     def once(self) -> None:
-        """One call; what it brought is handed on."""
+        """One call; what it brought is handed on, which must not wait."""
         self._held_ms = phases.list_held_ms(self._random)
         last, events = read_events(self._get(f"/bulletins?after={self._after}&patience={self._held_ms}"))
-        for event in events:
-            if event.number > self._after:
-                self._hand_on(event)
-                self._after = event.number
-        self._after = max(self._after, last)
+        with self._lock:  # against `move`, after which the old address has nothing to say any more
+            if self._to != self._where:
+                raise BadAnswer("moved while this was on its way")
+            for event in events:
+                if event.number > self._after:
+                    self._hand_on(event)
+                    self._after = event.number
+            self._after = max(self._after, last)
 
     def _hang_up(self) -> None:
         with self._lock:
