Send nothing for a caller that has left: one gate where a set-up's bytes leave

Behind a burst, or where the end came together with a refusal, a dial's end or the list's news, the set-up went out first. Ruled out: a call that has already been dropped (it is in no table).

- Send._write asks the connection itself (POLLRDHUP, also behind unread bytes) and the releases that its reader has read; who has left is told to the controller as never sent.
- The same gate holds back what waited for a connection to a server that drains since.
- A set-up in the outbox of a server that does not read is taken back, not followed by its release.
- An idle caller's connection was closed by the tidying timer, and by drains and for room with half a message there, over what had just come on it.
- A turn dealt with 1,000 messages and all timers on one reading of the clock: under a flood the pause after a cancel, counted from that, was short by the turn's length.
It deals with 16 of each.
- A call's time counted from when the loop came to it, not from its last byte.

--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -22,7 +22,7 @@
 from queue import SimpleQueue
 from typing import Any, Protocol
 
-from wickstep.net import Malformed, Message, Release, codec
+from wickstep.net import Malformed, Message, Release, SetUp, codec
 
 log = logging.getLogger(__name__)
 
@@ -94,6 +94,7 @@
     link: Link
     message: Message
     shares: int = 1  # of what its connection may have waiting for the loop
+    at: int = 0  # microseconds of the monotonic clock: when it was whole
 
 
 @dataclass(slots=True, frozen=True)
@@ -160,11 +161,12 @@
         self.closed = False  # the loop's word for it; the threads notice by their socket
         self.calls: dict[int, Any] = {}  # the loop's: what waits for an answer here
         self.unheard: dict[int, Release] = {}  # the loop's: releases sent here and not yet confirmed
+        self.withdrawn: set[int] = set()  # calls whose release was read and not yet dealt with
         self.shared = False  # read by the common reader
         self._until = 0  # in milliseconds, when what has begun must be whole; 0: nothing has
         self._ahead = threading.Semaphore(AHEAD_MOST)
         self._came = self._taken = 0  # messages: the reader's count and the loop's
-        self._outbox: deque[bytes] = deque()
+        self._outbox: deque[tuple[int, bytes]] = deque()  # with the call of a whole set-up, else 0
         self._waiting = 0
         self._lock = threading.RLock()  # over the outbox and what follows
         self._writing = False  # a writer is at work
@@ -183,10 +185,10 @@
 
     def send(self, message: Message) -> bool:
         """Write a message, or queue it; False on a closing connection or where the peer does not read."""
-        return self.write(self.dialect.encode(message))
+        return self.write(self.dialect.encode(message), message.call if isinstance(message, SetUp) else 0)
 
-    def write(self, data: bytes) -> bool:
-        """The same for bytes."""
+    def write(self, data: bytes, set_up: int = 0) -> bool:
+        """The same for bytes, those of the set-up of that call."""
         with self._lock:
             if self._last:
                 return False
@@ -194,7 +196,8 @@
                 return True
             if not self._writing:
                 try:
-                    data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
+                    if sent := self.sock.send(data, socket.MSG_DONTWAIT):
+                        data, set_up = data[sent:], 0
                 except BlockingIOError:
                     pass  # the peer does not read: a writer waits for it
                 except OSError:
@@ -202,7 +205,7 @@
                 if not data or self._last:
                     return True
             if self._waiting + len(data) <= self.outbox_most and self._write_aside():
-                self._outbox.append(data)
+                self._outbox.append((set_up, data))
                 self._waiting += len(data)
                 return True
         self.close()
@@ -220,6 +223,16 @@
             self._users += 1
         return True
 
+    def withdraw(self, call: int) -> bool:
+        """Take a set-up back that waits for the peer to read; False if its first byte may have left."""
+        with self._lock:
+            for entry in self._outbox if call else ():
+                if entry[0] == call:
+                    self._outbox.remove(entry)
+                    self._waiting -= len(entry[1])
+                    return True
+        return False
+
     def taken(self, shares: int) -> None:
         """The loop has dealt with one message: the reader may go on."""
         self._taken += 1
@@ -227,14 +240,29 @@
             self._ahead.release(shares)
 
     def unread(self) -> bool:
-        """Whether the peer has sent what the loop has not dealt with; never blocks."""
-        if self._came != self._taken:
+        """Whether the peer has sent what the loop has not dealt with, or begun to; never blocks."""
+        if self._came != self._taken or self._until:
             return True
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
             return False  # nothing there, or no connection any more
 
+    def left(self, call: int) -> bool:
+        """Whether the peer has closed, or has given this call up, as far as that has arrived; never blocks.
+
+        The loop hears so in its turn. Behind a burst that may be long after, and a set-up must not go out for
+        who has left. Asked of the socket itself, since an end behind unread bytes is not read yet.
+        """
+        if call in self.withdrawn:
+            return True
+        poll = select.poll()
+        try:
+            poll.register(self.sock, select.POLLRDHUP)
+        except (OSError, ValueError):
+            return True  # freed: the reader has come to its end
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Close at once; the threads come back and the reader says so."""
         with self._lock:
@@ -332,11 +360,14 @@
         Room is counted in bytes: hundreds of connections that push messages of 16 KiB, eight of each waiting,
         would fill the memory of a small machine. The common reader never waits: it looks for room first.
         """
+        at = time.monotonic_ns() // 1000
         shares = 0 if self.shared else min(1 + size // SHARE, AHEAD_MOST)
+        if isinstance(message, Release) and not self.shared:
+            self.withdrawn.add(message.call)
         for _ in range(shares):
             self._ahead.acquire()
         self._came += 1
-        self.inbox.put(Came(self, message, shares))
+        self.inbox.put(Came(self, message, shares, at))
 
     def _patience(self, ms: int) -> None:
         """How long the next `recv` may take; the writer's `sendall` is not concerned."""
@@ -352,8 +383,7 @@
                 if not self._outbox:
                     self._writing = False
                     break
-                data = b"".join(self._outbox)
-                self._outbox.clear()
+                _, data = self._outbox.popleft()  # one by one: what has not begun can be withdrawn
             try:
                 self.sock.sendall(data)
             except OSError:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -86,7 +86,7 @@
 HELD_PART = 16  # and of the memory their descriptions may fill one part in so many: each may be of 16 KiB
 NUMBER_MOST = 255  # characters of a number called: it is kept as long as its call
 UNHEARD_MOST = 1000  # releases kept for a connection whose caller confirms none
-TURN_MOST = 1000  # messages dealt with in one turn
+TURN_MOST = 16  # messages, and timers, of one turn: its clock is read at its start, and must still be true
 CALLER_SHARE = 0.45  # of the descriptors; callers hold a third at most, this guards the rest
 CALLERS_PER_MB = 5  # 40 KB for one that is silent, 80 KB while it pushes messages of 16 KiB
 SPARE = 16  # connections of callers above that, accepted while room is made
@@ -453,7 +453,17 @@
         self._write(attempt)
 
     def _write(self, attempt: Attempt) -> None:
+        """The one gate: here a set-up's bytes leave, or begin to wait for a connection."""
         server, call = attempt.server, attempt.call
+        if call.caller.left(call.wire):
+            # Its caller's end or release is on its way to the loop: nobody waits for this call any more.
+            self.floor.counts["attempts_spared"] += 1
+            self.drop(attempt)
+            self.book.gone(call)
+            return self.route.ended(attempt, Outcome.MOOT, over=True)
+        if server.state is not ServerState.ACTIVE:
+            self.drop(attempt)  # told to drain while this waited for a connection
+            return self.route.ended(attempt, Outcome.MOOT, over=call.wire not in self.floor.open)
         wait_ms = max((attempt.last_at - self.floor.now) // MS, 1)
         onward = SetUp(call.wire, call.set_up.klass, wait_ms, call.set_up.number, call.set_up.description)
         if server.link is not None:
@@ -490,7 +500,7 @@
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Stop an attempt that is out, towards its server too."""
         server, link = attempt.server, attempt.link
-        if link is not None:
+        if link is not None and not link.withdraw(attempt.call.wire):
             link.send(Release(attempt.call.wire, Reason.CLEARED))
             silent = link.heard_at < min(attempt.sent_at, self.floor.now - SILENT)
             if silent and link is server.link:
@@ -904,7 +914,8 @@
         self.send, self.relay, self.book = send, relay, book
         self.serial = itertools.count(1)
 
-    def set_up(self, link: Link, message: SetUp) -> None:
+    def set_up(self, link: Link, message: SetUp, at: int) -> None:
+        """A set-up that was whole at `at`, in microseconds: its caller waits from then on."""
         floor = self.floor
         floor.counts["taken_in"] += 1
         call = floor.open.get(message.call)
@@ -919,7 +930,7 @@
         trouble = self.trouble(message, klass)
         if trouble or klass is None:
             return self.reject(link, message, trouble)
-        deadline = floor.now + max(message.wait_ms * MS - MARGIN, MS)
+        deadline = max(at + message.wait_ms * MS - MARGIN, floor.now + MS)
         call = Call(next(self.serial), message.call, message, klass, link, deadline)
         floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
         floor.held += len(message.description)
@@ -1136,7 +1147,9 @@
         floor.now = time.monotonic_ns() // NS
         for item in batch:
             self.guard(partial(self.deal, item))
-        while floor.timers and floor.timers[0][0] <= floor.now:
+        for _ in range(TURN_MOST):
+            if not floor.timers or floor.timers[0][0] > floor.now:
+                break
             self.guard(heapq.heappop(floor.timers)[2])
         if self.stop_asked and (step := floor.mode.tell(self.operation.end_event())).granted:
             floor.stopping_at = floor.now
@@ -1185,7 +1198,9 @@
         for link in floor.callers.keys() - busy:
             if link.leaving and floor.now - link.heard_at > SECOND:
                 link.close()  # its last answer is still unread: it would keep its place for ever
-            elif not link.calls and not link.leaving and floor.now - link.heard_at > UNUSED:
+            elif link.calls or link.leaving or floor.now - link.heard_at <= UNUSED:
+                continue
+            elif not link.unread():  # a set-up that has come meanwhile would be lost
                 floor.counts["callers_closed_unused"] += 1
                 self.take_in.drop(link)
 
@@ -1199,7 +1214,7 @@
 
     def deal(self, item: Any) -> None:
         match item:
-            case Came(link=link, message=message, shares=shares):
+            case Came(link=link, message=message, shares=shares, at=at):
                 link.taken(shares)
                 link.spoke = True
                 if not link.leaving:
@@ -1207,7 +1222,7 @@
                 if isinstance(link.owner, Server):
                     self.from_server(link.owner, link, message)
                 else:
-                    self.from_caller(link, message)
+                    self.from_caller(link, message, at)
             case Opened(link=link) if isinstance(link.owner, Server):
                 self.send.opened(link, link.owner)
             case Opened(link=link):
@@ -1231,14 +1246,15 @@
             case _ if self.numbers is not None:
                 self.numbers.deal(item)
 
-    def from_caller(self, link: Link, message: Message) -> None:
+    def from_caller(self, link: Link, message: Message, at: int) -> None:
         if link.leaving:
             return
         match message:
             case SetUp():
                 self.book.spoke(link)
-                self.take_in.set_up(link, message)
+                self.take_in.set_up(link, message, at)
             case Release():
+                link.withdrawn.discard(message.call)
                 self.book.spoke(link)
                 self.take_in.release(link, message)
             case Test():
