End a process only once what callers have said is dealt with

Seen by reading: after the notice the loop ended as soon as no call was open, with set-ups in its queue or its callers' sockets: taken, and never answered. Ruled out: a flood behind the stop, which the longest wait bounds. The end looks at both now, up to the same longest moment. Forced by a loop that is held until the set-up is read and SIGTERM has come; both cases fail without the change.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -345,3 +345,27 @@
     trunk.say(GroupState(0, LINES))
     assert not [message for message in settled(other, caller) if isinstance(message, Answer)]
     assert trunk.hear(Release, call).reason is Reason.CLEARED
+
+
+# The end of the process.
+
+
+@pytest.mark.parametrize("behind", [False, True])
+def test_what_came_just_before_the_end_is_answered_before_it(one: One, behind: bool) -> None:
+    town, _, trunk, caller = one
+    link = link_of(town, caller)
+    assert town.switch is not None
+    switch = town.switch
+
+    def stop() -> None:
+        switch.stop_asked = True  # with no notice here: the loop may end right after this turn
+
+    with Held(town, stop), heard(link, 1 + behind):
+        if behind:
+            caller.say(Test(4))
+        call = town.call(caller)
+    trunk.hear(SetUp, call)
+    trunk.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+    town.thread.join(PATIENCE)
+    assert not town.thread.is_alive()
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -241,7 +241,11 @@
 
     def unread(self) -> bool:
         """Whether the peer has sent what the loop has not dealt with, or begun to; never blocks."""
-        if self._came != self._taken or self._until:
+        return self._until > 0 or self.pending()
+
+    def pending(self) -> bool:
+        """The same but for a message that has begun and is not whole, as far as it was read."""
+        if self._came != self._taken:
             return True
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -1332,7 +1332,12 @@
         since = floor.now - floor.stopping_at
         handing_over = floor.mode.state is State.HANDING_OVER
         most = min(max(floor.config.longest), HAND_OVER_MOST if handing_over else STOP_MOST) + STOP_AFTER
-        return since >= most or (since >= NOTICE and not floor.open)
+        return since >= most or (since >= NOTICE and not floor.open and not self._pending())
+
+    def _pending(self) -> bool:
+        """Whether callers have said what is not dealt with: taken, though nobody has looked at it."""
+        callers = self.floor.callers
+        return not self.floor.inbox.empty() or any(x.pending() for x in callers if not x.leaving)
 
     def _flush(self) -> None:
         ends = [*self.floor.callers, *(s.link for s in self.floor.servers.values() if s.link)]
