Ask for the list sooner at a start where the settings leave less time for drains

Found looking for one customer's values in the program: the first call for the list was spread over 0.7 s, of the 2 s that this customer leaves; another leaves 1 s, a third may leave 0.4. It is half that time at most now. The test of short times fails without it (TypeError: no such setting was taken).

--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -30,14 +30,22 @@
     fleet = [Random(seed) for seed in range(200)]
     moments: list[float] = []
     for random in fleet:
-        at = phases.first_list_s(random, listed=True)
+        at = phases.first_list_s(random, listed=True, grace_s=2.0)
         while at < 20:
             moments.append(at)
             at += phases.list_held_ms(random) / 1000
     spans = Counter(int(at * 10) for at in moments)
     assert max(spans.values()) <= 0.25 * len(fleet)
     assert max(count for span, count in spans.items() if span > 60) <= 0.2 * len(fleet)
-    assert phases.first_list_s(fleet[0], listed=False) == 0  # nothing is known without it
+    assert phases.first_list_s(fleet[0], listed=False, grace_s=2.0) == 0  # nothing is known without it
+
+
+@pytest.mark.parametrize("grace_s", [0.0, 0.05, 0.4, 1.0])
+def test_a_start_asks_for_the_list_well_before_a_drain_must_be_kept(
+    monkeypatch: pytest.MonkeyPatch, grace_s: float
+) -> None:
+    monkeypatch.undo()
+    assert all(phases.first_list_s(Random(seed), True, grace_s) <= grace_s / 2 for seed in range(200))
 
 
 def test_connections_that_nothing_waits_for_are_spread(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -106,10 +106,16 @@
     """Calls the bulletin again and again and hands each event on."""
 
     def __init__(
-        self, where: str, after: int, hand_on: Callable[[Roster], None], random: Random | None = None
+        self,
+        where: str,
+        after: int,
+        hand_on: Callable[[Roster], None],
+        random: Random | None = None,
+        grace_s: float = 0.0,
     ) -> None:
+        """Follow `where` from the number `after`; `grace_s` as the settings have it for servers that go."""
         self._where, self._after, self._hand_on = where, after, hand_on
-        self._random = random or Random()
+        self._random, self._grace_s = random or Random(), grace_s
         self._held_ms = 0  # by the call that is out
         self._sock: socket.socket | None = None
         self._to = ""  # where that leads
@@ -135,7 +141,7 @@
 
     def _follow(self) -> None:
         # A fleet that comes back together must not call together, nor in step from then on.
-        self._moved.wait(phases.first_list_s(self._random, self._after > 0))
+        self._moved.wait(phases.first_list_s(self._random, self._after > 0, self._grace_s))
         while True:
             try:
                 self.once()
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -1120,7 +1120,8 @@
         for event in events:
             self.list(event)
         drawn = random.Random(floor.config.seed ^ 0x1157)
-        self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put, drawn)
+        grace_s = floor.config.settings.drain_grace / NS / SECOND
+        self.bulletin = bulletin.Client(floor.config.bulletin, after, floor.inbox.put, drawn, grace_s)
         self.bulletin.start()
         self.operation.start()
         self.listener.start()
--- a/wickstep/recovery/phases.py
+++ b/wickstep/recovery/phases.py
@@ -5,8 +5,8 @@
 
 The sum over a fleet is bounded by spreading: of n that begin in one instant, n * 0.1 / LIST_SPREAD_S call
 for the list in the same tenth of a second, 14 in a hundred, and from then on ever fewer do, since each
-call is held for a drawn time. A change that is told meanwhile is heard `LIST_SPREAD_S` later at most, of
-the 2 s that there are.
+call is held for a drawn time. A change that is told meanwhile is heard `LIST_SPREAD_S` later at most, and
+within half the time that the settings leave for it: where that is short, a fleet calls closer together.
 """
 
 from __future__ import annotations
@@ -18,9 +18,12 @@
 DIAL_SPREAD_US = 500_000  # of connections to servers that no set-up waits for
 
 
-def first_list_s(random: Random, listed: bool) -> float:
-    """Seconds before the first call for the list; none where nothing is known without it."""
-    return random.random() * LIST_SPREAD_S if listed else 0.0
+def first_list_s(random: Random, listed: bool, grace_s: float) -> float:
+    """Seconds before the first call for the list; none where nothing is known without it.
+
+    `grace_s`: for so long after a server was told to go may it still be sent to.
+    """
+    return random.random() * min(LIST_SPREAD_S, grace_s / 2) if listed else 0.0
 
 
 def list_held_ms(random: Random) -> int:
