--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -28,6 +28,7 @@
 FINAL = Event(1.21, What.FINAL, 0, 7, why="stands")
 OVER = Event(2.0, What.OVER, 0, 7, "a")
 TOLD = Event(2.1, What.TOLD, 0, 7)
+LEFT = Event(1.1, What.LEFT, 0, 7, why="closed")
 GOOD = (ASKED, CAME, STOOD, FINAL, OVER, TOLD)
 
 
@@ -62,6 +63,10 @@
         ((*GOOD, Event(0.0, What.HEARD, 0, 0, "a", "draining")), []),
         ((*GOOD, Event(-2.0, What.HEARD, 0, 0, "a", "draining")), ["drain"]),
         ((*GOOD, Event(-2.0, What.HEARD, 1, 0, "a", "draining")), []),  # told to another
+        ((ASKED, LEFT, came(1.249), ended(1.3, "given up", "b")), []),
+        ((ASKED, LEFT, came(1.251), ended(1.3, "given up", "b")), ["left"]),
+        ((ASKED, CAME, ended(1.15, "full"), LEFT, came(1.251), ended(1.3, "given up", "b")), ["left"]),
+        ((ASKED, LEFT, Event(1.2, What.BROKE, 0, why="callers", value=1.0), came(1.251)), []),
         ((Event(5.0, What.FELL, -1, 0, "a", "20 at 3 a second"),), ["cold"]),
         ((ASKED, CAME, STOOD, FINAL, OVER), ["release"]),
         ((ASKED, CAME, STOOD, FINAL, OVER, Event(4.0, What.TOLD, 0, 7)), ["release"]),
--- a/wickstep/rehearsal/callers.py
+++ b/wickstep/rehearsal/callers.py
@@ -11,7 +11,18 @@
 import socket
 from functools import partial
 
-from wickstep.net import Answer, Malformed, Message, Release, ReleaseHeard, SetUp, Test, TestResult, codec
+from wickstep.net import (
+    Answer,
+    Malformed,
+    Message,
+    Reason,
+    Release,
+    ReleaseHeard,
+    SetUp,
+    Test,
+    TestResult,
+    codec,
+)
 from wickstep.rehearsal.loop import Loop
 from wickstep.rehearsal.relay import Relay, Sky
 from wickstep.rehearsal.scenario import CallerPlan
@@ -21,6 +32,7 @@
 TESTED_S = 0.5  # and one that has
 TEST_LATE_S = 1.0
 CLASS = "voice"
+LEAVING = ("given up", "closed", "reset")
 
 
 class Desk:
@@ -87,6 +99,20 @@
             self.say(ReleaseHeard(message.call))
             trace.note(at, What.TOLD, self.softswitch, message.call)
 
+    def leave(self, call: int, why: str) -> None:
+        """Its caller waits no longer, and says so on this connection or by ending it."""
+        if call not in self.open or self.relay is None:
+            return  # answered meanwhile
+        self.forget(call)
+        relay, at = self.relay, self.callers.loop.at
+        if why == "given up":
+            self.say(Release(call, Reason.CLEARED))
+        elif why == "closed":
+            relay.close()
+        else:
+            relay.reset()
+        self.callers.trace.note(at, What.LEFT, self.softswitch, call, why=why)
+
     def forget(self, call: int) -> None:
         """Its time is up: whatever comes now is a second answer or a late one, as the judge sees it."""
         self.open.pop(call, None)
@@ -169,7 +195,14 @@
         wait_ms = int(1000 * self.plan.wait_s)
         first = self.random.randrange(self.servers)
         message = SetUp(call, CLASS, wait_ms, f"{call:016x}", b"offer", first_choice=first)
+        if self.random.random() >= self.plan.leave:
+            return self.ask(desk, message)
+        why = self.random.choice(LEAVING)
+        if why != "given up":
+            desk = Desk(self, number)  # a connection of its own: others' calls do not end with it
         self.ask(desk, message)
+        # Rather sooner than later: most calls are answered soon.
+        self.loop.after(self.plan.aim_s * self.random.random() ** 3, partial(desk.leave, call, why))
 
     def ask(self, desk: Desk, message: SetUp) -> None:
         if desk.say(message):
--- a/wickstep/rehearsal/judge.py
+++ b/wickstep/rehearsal/judge.py
@@ -19,6 +19,7 @@
 SLACK_S = 0.05  # each time limit is so much longer on sockets
 LATE_S = 0.3  # a busy machine reads its clock late: answers are judged by this much more
 TOLD_S = 1.0  # what has stood is released towards its caller within that of its end,
+LEFT_S = 0.1  # no attempt, first or further, for a caller that left longer ago
 UNSENT_S = 8.0  # or within that where no release could be sent
 PAUSED = ("given up", "link")  # ends after which the pause is owed
 
@@ -33,7 +34,8 @@
 def breaches(trace: Trace, lasted: float, calls_kept: bool = False) -> list[Breach]:
     """All broken rules, in the order of their moments; with `calls_kept` that of calls over restarts, too."""
     judge = _Judge(trace, lasted)
-    found = [*judge.finals(), *judge.attempts(), *judge.drains(), *judge.cold(), *judge.releases()]
+    found = [*judge.finals(), *judge.attempts(), *judge.left(), *judge.drains(), *judge.cold()]
+    found += judge.releases()
     if calls_kept:
         found += judge.lives()
     return sorted(found, key=lambda breach: breach.at)
@@ -72,8 +74,8 @@
     def finals(self) -> Iterator[Breach]:
         for call, events in self.by_call.items():
             asked = [event for event in events if event.what is What.ASKED]
-            if not asked:
-                continue
+            if not asked or any(event.what is What.LEFT for event in events):
+                continue  # nothing is owed to who has left
             finals = [event for event in events if event.what is What.FINAL]
             first, due = asked[0], asked[-1].at + asked[-1].value
             if len(finals) > 1:
@@ -126,6 +128,19 @@
                 text = f"{event.call:x}: sent to {event.server} {event.at - at:.2f} s after it was told to go"
                 yield Breach(event.at, "drain", text)
 
+    def left(self) -> Iterator[Breach]:
+        """Nobody is sent on who has left; where a link was broken or a process stopped, it could not know."""
+        for call, events in self.by_call.items():
+            gone = next((event for event in events if event.what is What.LEFT), None)
+            if gone is None:
+                continue
+            for event in events:
+                late = event.at - gone.at
+                hurt = self.excused(gone.softswitch, gone.at, event.at, servers=True)
+                if event.what is What.CAME and late > LEFT_S + SLACK_S and not hurt:
+                    text = f"{call:x}: sent {late:.3f} s after its caller had left ({gone.why})"
+                    yield Breach(event.at, "left", text)
+
     def cold(self) -> Iterator[Breach]:
         for event in self.trace.of(What.FELL):
             yield Breach(event.at, "cold", f"{event.server} was pushed over while cold: {event.why}")
--- a/wickstep/rehearsal/scenario.py
+++ b/wickstep/rehearsal/scenario.py
@@ -43,6 +43,7 @@
     hold_s: float = 1.0
     spread: float = 1.0  # the busiest softswitch has so many times the mean
     notice_s: float = 1.0  # the front goes on sending to one that has died for so long
+    leave: float = 0.0  # part of the callers that leave before their answer, within the time wanted
     again: bool = False  # set-ups that were open when their softswitch died come again, under their ids
 
 
@@ -123,6 +124,7 @@
         hold_s=form.number("hold-s", plain.hold_s, 0.01, 60),
         spread=form.number("spread", plain.spread, 1, 20),
         notice_s=form.number("notice-s", plain.notice_s, 0, 10),
+        leave=form.number("leave", plain.leave, 0, 1),
         again=form.text("again", "no", ("no", "yes")) == "yes",
     )
 
--- a/wickstep/rehearsal/trace.py
+++ b/wickstep/rehearsal/trace.py
@@ -25,6 +25,7 @@
     DOWN = "down"  # a softswitch was killed or stopped
     UP = "up"  # it passed a test, or goes on
     BROKE = "broke"  # a link fault began on it; value: seconds
+    LEFT = "left"  # its caller gave it up or closed its connection; why: given up, closed, reset
     MISSED = "missed"  # a call found no softswitch that listens
 
 
