--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -211,6 +211,28 @@
     assert set_ups(settled(other, first)) == []
 
 
+@pytest.mark.parametrize("leaves", LEAVING)
+@pytest.mark.parametrize("ending", [Release(0, Reason.INTERRUPTED), Release(0, Reason.FULL, Note.OVERLOAD)])
+def test_a_pause_or_a_mark_that_ends_before_the_callers_end_is_heard_brings_no_attempt(
+    one: One, ending: Release, leaves: Callable[..., None]
+) -> None:
+    town, _, trunk, caller = one
+    other = town.caller()
+    link, _ = link_of(town, caller), link_of(town, other)
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    with heard(trunk_of(town, "s-1")):
+        trunk.say(Release(call, ending.reason, ending.note))  # its line may be taken still; or it is marked
+    assert set_ups(settled(other, trunk)) == []
+    with Held(town) as held:
+        for _ in range(2000):  # ahead of the end that is to come: timers have their turn between them
+            held.switch.floor.inbox.put(bulletin.Roster(0, False, ()))
+        leaves(caller, link, call)
+        over = time.monotonic() + 0.3  # the pause, and the mark
+        wait_for(lambda: time.monotonic() > over)
+    assert call not in set_ups(settled(other, trunk))
+
+
 def test_a_set_up_that_waits_for_a_server_to_read_is_taken_back_when_its_caller_leaves(one: One) -> None:
     town, _, trunk, caller = one
     other = town.caller()
