Let nothing that a caller sent pass unseen between its socket and the loop's queue

Two causes were possible. The reader may have had the bytes in hand, out of the socket and not yet counted: real, and mended; it says so before it reads, and the loop looks along the way that bytes take. Forced by a reader that is held there: the case fails without this. Or the test's own, which lets a silent newcomer stay for 0 s: between its connect and its call nothing had come. It holds the loop over both now; nothing else in it has changed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -280,7 +280,7 @@
 # A caller's connection that is closed from this side.
 
 
-@pytest.mark.parametrize("part", ["whole", "half"])
+@pytest.mark.parametrize("part", ["whole", "half", "in hand"])
 def test_an_idle_connection_is_not_closed_over_what_has_just_come_on_it(
     one: One, monkeypatch: pytest.MonkeyPatch, part: str
 ) -> None:
@@ -293,12 +293,25 @@
         with monkeypatch.context() as now:
             now.setattr(module, "UNUSED", -1)
             switch.tidy()
+        go_on.set()
 
     data = codec.encode(SetUp(0xF1, "voice", 5000, "7", b"offer", first_choice=0))
+    read, go_on = threading.Event(), threading.Event()
+    feed = link.dialect.feed
+
+    def late(data: bytes) -> Iterator[Message]:
+        read.set()
+        assert go_on.wait(PATIENCE)
+        return feed(data)
+
     with Held(town, tidy):
         if part == "whole":
             with heard(link):
                 caller.sock.sendall(data)
+        elif part == "in hand":
+            monkeypatch.setattr(link.dialect, "feed", late)  # the reader has it, and nobody knows yet
+            caller.sock.sendall(data)
+            assert read.wait(PATIENCE)
         else:
             caller.sock.sendall(data[:9])
             wait_for(lambda: link._until > 0)
--- a/tests/test_operation_stories.py
+++ b/tests/test_operation_stories.py
@@ -17,6 +17,7 @@
 from wickstep.operation import draining, front
 from wickstep.operation.mode import State
 
+from .test_crossings import Held
 from .test_softswitch import PATIENCE, Peer, Server, Town, line, stands, wait_for
 
 HOW = ("succeeded", "declined", "aborted")
@@ -135,8 +136,9 @@
     trunk.say(Release(call, Reason.CLEARED))
     busy.hear(Release, call)  # and told of its end,
     assert busy.ends()  # and then its connection goes
-    newcomer = town.caller()
-    late = town.call(newcomer)
+    with Held(town):  # or, silent for no time at all, it might be sent away between its connect and its call
+        newcomer = town.caller()
+        late = town.call(newcomer)
     trunk.hear(SetUp, late)  # it has come before the front knew
     trunk.say(Answer(late, b"accept"))
     newcomer.hear(Answer, late)
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -165,6 +165,7 @@
         self.shared = False  # read by the common reader
         self._until = 0  # in milliseconds, when what has begun must be whole; 0: nothing has
         self._ahead = threading.Semaphore(AHEAD_MOST)
+        self._in_hand = False  # a caller's reader has bytes that are not counted yet
         self._came = self._taken = 0  # messages: the reader's count and the loop's
         self._outbox: deque[tuple[int, bytes]] = deque()  # with the call of a whole set-up, else 0
         self._waiting = 0
@@ -244,13 +245,14 @@
         return self._until > 0 or self.pending()
 
     def pending(self) -> bool:
-        """The same but for a message that has begun and is not whole, as far as it was read."""
-        if self._came != self._taken:
-            return True
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False  # nothing there, or no connection any more
+        """The same but for a message that has begun and is not whole, as far as it was read.
+
+        Looked for along the way that it takes, so that it cannot pass unseen from one place to the next.
+        """
+        with contextlib.suppress(OSError):  # nothing there, or no connection any more
+            if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return True
+        return self._in_hand or self._came != self._taken
 
     def left(self, call: int) -> bool:
         """Whether the peer has closed, or has given this call up, as far as that has arrived; never blocks.
@@ -294,8 +296,10 @@
         malformed = False
         try:
             self._patience(self.first_ms)
-            while data := self.sock.recv(self.chunk):
-                self._patience(self._digest(data))
+            while self.sock.recv(1, socket.MSG_PEEK):
+                self._in_hand = True  # before it leaves the socket, where the loop could still see it
+                self._patience(self._digest(self.sock.recv(self.chunk)))
+                self._in_hand = False
         except BlockingIOError:
             malformed = self._until > 0
             log.info("closing a connection: %s", "a message stops short" if malformed else "never spoke")
