Name the setting that will not do, in one line, and end with exit code 2

A number that was none, an object without a key or a short list ended a start with a text that named no setting (KeyError('slo_ns'), invalid literal for int()) and exit code 1.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -141,7 +141,8 @@
         self.serial = 0xA0
         self.switch: Softswitch | None = None
 
-    def open(self, *hosts: dict[str, Any], **more: Any) -> None:
+    def open(self, *hosts: dict[str, Any], replaced: dict[str, Any] | None = None, **more: Any) -> None:
+        """Start it, with `more` limits than the usual settings have, or with others in their place."""
         conf = json.loads(json.dumps(CONF))
         conf["classes"][0]["name"] = "voice"
         conf["classes"].append({**conf["classes"][0], "name": "video"})
@@ -150,6 +151,7 @@
         conf["limits"].update({"dial_timeout_ns": 500_000_000, "probes": True, "max_open": 100, **more})
         conf["stats"] = {"columns": ["free", "size", "hold_back", "avg_ms"]}
         items = [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": list(hosts)}}] if hosts else []
+        conf = replaced or conf
         self.text = json.dumps(
             {
                 "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": conf,
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -37,11 +37,15 @@
     click.echo(f"wickstep {__version__}")
 
 
+class BadConfig(click.ClickException):
+    exit_code = 2
+
+
 def read(path: Path) -> softswitch.Config:
     try:
         return softswitch.Config.read(path.read_bytes())
     except (OSError, ValueError, LookupError, TypeError, AttributeError) as trouble:
-        raise click.ClickException(f"{path}: {trouble!r}") from trouble
+        raise BadConfig(f"{path}: {str(trouble).splitlines()[0] if str(trouble) else trouble!r}") from trouble
 
 
 CONFIG = click.option(
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -52,7 +52,7 @@
 from wickstep.operation.service import Operation
 from wickstep.recovery import phases
 from wickstep.recovery.notes import Notes
-from wickstep.settings import REPORT_FIELDS, read_settings
+from wickstep.settings import REPORT_FIELDS, made, need, of_class, read_settings, section, whole
 from wickstep.spread.reasons import Why, reason
 
 if TYPE_CHECKING:
@@ -131,29 +131,40 @@
     @classmethod
     def read(cls, text: str | bytes) -> Config:
         raw = ujson.loads(text)
-        conf = raw["settings"]
-        limits = conf["limits"]
-        classes = conf["classes"]
-        widths = conf.get("family_info", {}).get("widths") or [1] * len(classes)
-        memory_mb = int(raw.get("limits", {}).get("memory_mb") or 192)
-        sockets = int(raw.get("limits", {}).get("sockets", 1024))
-        links.address(str(raw["bulletin"]))  # one that cannot be called is no configuration
+        if not isinstance(raw, dict) or not isinstance(need(raw, "settings", "settings"), dict):
+            raise ValueError("setting settings: no object")
+        conf, machine = raw["settings"], section(raw, "limits")
+        settings = read_settings(conf)  # first: it says what is wrong with the classes
+        limits, classes = section(conf, "limits"), conf["classes"]
+        widths = section(conf, "family_info").get("widths")
+        names = [str(need(item, "name", f"classes[{place}].name")) for place, item in enumerate(classes)]
+        max_open = whole(limits, "max_open", "limits.max_open", 0) or 20000
+        memory_mb = whole(machine, "memory_mb", "limits.memory_mb", 0) or 192
+        sockets = whole(machine, "sockets", "limits.sockets", 1024)
+        links.address(str(need(raw, "bulletin", "bulletin")))  # one that cannot be called is no configuration
+        links.address(str(need(raw, "listen", "listen")))
         return cls(
-            name=str(raw["name"]),
+            name=str(need(raw, "name", "name")),
             listen=str(raw["listen"]),
-            seed=int(str(raw["seed"]), 16),
+            seed=made(need(raw, "seed", "seed"), "seed", lambda text: int(str(text), 16)),
             sockets=sockets,
             bulletin=str(raw["bulletin"]),
             known=bulletin.read_events(raw.get("known") or {"no": 0, "items": []}),
-            settings=read_settings(conf),
-            classes={str(item["name"]): place for place, item in enumerate(classes)},
-            longest=tuple(int(item.get("give_up_ns") or LONGEST * NS) // NS for item in classes),
-            widths=tuple(int(widths[place]) for place in range(len(classes))),
-            max_open=min(int(limits.get("max_open") or 20000), memory_mb * OPEN_PER_MB),
+            settings=settings,
+            classes={name: place for place, name in enumerate(names)},
+            longest=tuple(
+                (whole(item, "give_up_ns", f"classes[{place}].give_up_ns", 0) or LONGEST * NS) // NS
+                for place, item in enumerate(classes)
+            ),
+            widths=tuple(
+                1 if (width := of_class(widths, place, "family_info.widths", int)) is None else width
+                for place in range(len(classes))
+            ),
+            max_open=min(max_open, memory_mb * OPEN_PER_MB),
             max_held=(memory_mb << 20) // HELD_PART,
             max_callers=min(int(sockets * CALLER_SHARE), memory_mb * CALLERS_PER_MB),
             max_ended=memory_mb * REMEMBERED_PER_MB,
-            dial_timeout=int(limits.get("dial_timeout_ns") or SECOND * NS) // NS,
+            dial_timeout=(whole(limits, "dial_timeout_ns", "limits.dial_timeout_ns", 0) or SECOND * NS) // NS,
             inherited=int(os.environ["ROUTER_ACCEPT_FD"]) if os.environ.get("ROUTER_ACCEPT_FD") else None,
             operator=os.environ.get("ROUTER_OPERATOR") or str(raw.get("operator") or ""),
         )
--- a/wickstep/settings.py
+++ b/wickstep/settings.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from math import isfinite
+from typing import Any, TypeVar
 
 from wickstep import interface as api
 
+T = TypeVar("T")
+
 EFFECTS = {
     "read_like": api.Effect.SAFE,
     "idempotency_key": api.Effect.KEYED,
@@ -27,50 +31,106 @@
 def read_settings(conf: dict[str, Any]) -> api.Settings:
     """Translate the settings, times in nanoseconds; unknown keys are skipped.
 
-    Raises ValueError, KeyError or TypeError where a value is missing or out of range.
+    Raises ValueError with the setting's name where a value is missing, of a wrong type or out of range.
     """
-    info, limits, rules = (_section(conf, name) for name in ("family_info", "limits", "rules"))
+    info, limits, rules = (section(conf, name) for name in ("family_info", "limits", "rules"))
     pools = info.get("allowed_pools")
     lengths = info.get("call_length_ns")
     classes = []
-    for position, item in enumerate(_need(conf, "classes", "classes")):
+    for position, item in enumerate(listed(conf, "classes", "classes")):
+        where = f"classes[{position}]"
+        if not isinstance(item, dict):
+            raise ValueError(f"setting {where}: {item!r} is no class")
+        pool = of_class(pools, position, "family_info.allowed_pools", numbers)
         classes.append(
             api.CallClass(
-                aim=int(_need(item, "slo_ns", "classes[].slo_ns")),
-                worth=float(_need(item, "credit", "classes[].credit")),
-                late_worth=float(item.get("late_value") or 0.0),
+                aim=whole(item, "slo_ns", f"{where}.slo_ns"),
+                worth=real(item, "credit", f"{where}.credit"),
+                late_worth=real(item, "late_value", f"{where}.late_value", 0.0),
                 effect=EFFECTS.get(str(item.get("effect")), api.Effect.UNSAFE),
-                allowed=frozenset(int(n) for n in pools[position]) if pools else None,
-                length=int(lengths[position]) if lengths else 0,
+                allowed=frozenset(pool) if pool is not None else None,
+                length=of_class(lengths, position, "family_info.call_length_ns", int) or 0,
             )
         )
     return api.Settings(
         classes=tuple(classes),
-        proxies=int(_need(conf, "peers_total", "peers_total")),
-        max_attempts=int(_need(limits, "attempts_cap", "limits.attempts_cap")),
-        max_retry_after=int(limits.get("max_retry_after_ns") or 0),
-        retransmit=int(info.get("retransmit_ns") or 0),
-        release_wait=int(_need(info, "release_ns", "family_info.release_ns")),
-        drain_grace=int(_need(rules, "drain_grace_ns", "rules.drain_grace_ns")),
-        cold_from=float(_need(rules, "cold_from", "rules.cold_from")),
-        ramp_time=int(_need(rules, "ramp_time_ns", "rules.ramp_time_ns")),
-        fall_multiple=float(_need(rules, "fall_multiple", "rules.fall_multiple")),
-        fall_window=int(_need(rules, "tip_after_ns", "rules.tip_after_ns")),
+        proxies=whole(conf, "peers_total", "peers_total"),
+        max_attempts=whole(limits, "attempts_cap", "limits.attempts_cap"),
+        max_retry_after=whole(limits, "max_retry_after_ns", "limits.max_retry_after_ns", 0),
+        retransmit=whole(info, "retransmit_ns", "family_info.retransmit_ns", 0),
+        release_wait=whole(info, "release_ns", "family_info.release_ns"),
+        drain_grace=whole(rules, "drain_grace_ns", "rules.drain_grace_ns"),
+        cold_from=real(rules, "cold_from", "rules.cold_from"),
+        ramp_time=whole(rules, "ramp_time_ns", "rules.ramp_time_ns"),
+        fall_multiple=real(rules, "fall_multiple", "rules.fall_multiple"),
+        fall_window=whole(rules, "tip_after_ns", "rules.tip_after_ns"),
         may_cancel=bool(limits.get("cancel")),
         may_probe=bool(limits.get("probes")),
         may_message=bool(limits.get("peers")),
         heeds_retry_after=bool(limits.get("retry_after")),
         list_on_request=conf.get("registry_mode") == "ask",
-        own_number=int(info.get("this_node", -1)),
+        own_number=whole(info, "this_node", "family_info.this_node", -1),
     )
 
 
-def _section(conf: dict[str, Any], name: str) -> dict[str, Any]:
+def section(conf: dict[str, Any], name: str) -> dict[str, Any]:
+    """An object in the settings; an empty one where there is none."""
     found = conf.get(name)
     return found if isinstance(found, dict) else {}
 
 
-def _need(where: dict[str, Any], key: str, name: str) -> Any:
+def need(where: dict[str, Any], key: str, name: str) -> Any:
+    """What stands under a key; ValueError with the setting's name where nothing does."""
     if where.get(key) is None:
         raise ValueError(f"setting {name}: missing")
     return where[key]
+
+
+def whole(where: dict[str, Any], key: str, name: str, absent: int | None = None) -> int:
+    """A whole number; `absent` stands for one that is not there. ValueError names the setting."""
+    return _read(where, key, name, int, absent)
+
+
+def real(where: dict[str, Any], key: str, name: str, absent: float | None = None) -> float:
+    """The same for any finite number."""
+    return _read(where, key, name, float, absent)
+
+
+def _read(where: dict[str, Any], key: str, name: str, kind: Callable[[Any], T], absent: T | None) -> T:
+    if where.get(key) is None and absent is not None:
+        return absent
+    return made(need(where, key, name), name, kind)
+
+
+def listed(where: dict[str, Any], key: str, name: str) -> list[Any]:
+    """A list; ValueError with the setting's name where there is none."""
+    found = need(where, key, name)
+    if not isinstance(found, list):
+        raise ValueError(f"setting {name}: no list")
+    return found
+
+
+def numbers(found: Any) -> list[int]:
+    if not isinstance(found, list):
+        raise TypeError("no list")
+    return [int(item) for item in found]
+
+
+def of_class(found: Any, position: int, name: str, kind: Callable[[Any], T]) -> T | None:
+    """What a list has for a class; None where there is no such list."""
+    if not found:
+        return None
+    if not isinstance(found, list) or len(found) <= position:
+        raise ValueError(f"setting {name}: nothing for class {position}")
+    return made(found[position], f"{name}[{position}]", kind)
+
+
+def made(value: Any, name: str, kind: Callable[[Any], T]) -> T:
+    """What `kind` makes of a value; ValueError with the setting's name where it can't."""
+    try:
+        found = kind(value)
+        if isinstance(found, float) and not isfinite(found):
+            raise ValueError("not finite")
+    except (TypeError, ValueError, OverflowError) as trouble:
+        raise ValueError(f"setting {name}: {str(value)[:80]!r} will not do: {trouble}") from trouble
+    return found
