--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -105,9 +105,9 @@
 class Bulletin:
     """Holds a call for a while, until the story has an event for it."""
 
-    def __init__(self) -> None:
+    def __init__(self, port: int = 0) -> None:
         self.events: Queue[dict[str, Any]] = Queue()
-        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock = socket.create_server(("127.0.0.1", port))
         self.dial = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.number = 1
         threading.Thread(target=self.serve, daemon=True).start()
