Ask again for events that an answer of the list jumps over, and take them in order

Seen by reading: an answer that named a later number than its events reach, or lacked one of them, raised the number from which the next call asks; a drain among those missing was never heard, and the rule of drains could not be kept. Out of order, the earlier of two was dropped. Ruled out: an answer that stops short, which is no JSON and asked again.

What an answer lacks is asked for once more; missing twice, it is not to be had, and the list goes on.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -53,6 +53,7 @@
         assert len(os.listdir(held)) <= FEW - 8  # what dials, the list and a restart need
         away.close()
         server, back = Server(), Bulletin(int(bulletin.rsplit(":", 1)[1]))
+        back.number = 0  # nothing was known
         back.tell(line(server, "s-1"), whole=True)
         trunk = server.accept()  # followed, and connected to
         caller = Peer(socket.create_connection((host, int(port)), timeout=PATIENCE))
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import json
 import math
@@ -17,7 +18,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
-from queue import Empty, Queue, SimpleQueue
+from queue import Queue, SimpleQueue
 from typing import Any
 
 import pytest
@@ -103,29 +104,36 @@
 
 
 class Bulletin:
-    """Holds a call for a while, until the story has an event for it."""
+    """Tells the events after the number that it is asked for; holds a call for a while until there is one."""
 
     def __init__(self, port: int = 0) -> None:
-        self.events: Queue[dict[str, Any]] = Queue()
+        self.events: list[dict[str, Any]] = []
+        self.told = threading.Condition()
         self.sock = socket.create_server(("127.0.0.1", port))
         self.dial = f"127.0.0.1:{self.sock.getsockname()[1]}"
-        self.number = 1
+        self.number = 1  # the last: softswitches begin with that one as a rule
         threading.Thread(target=self.serve, daemon=True).start()
 
     def tell(self, *hosts: dict[str, Any], whole: bool = False) -> None:
-        self.number += 1
-        self.events.put({"no": self.number, "roster": {"seq": 1, "whole": whole, "hosts": list(hosts)}})
+        with self.told:
+            self.number += 1
+            roster = {"seq": 1, "whole": whole, "hosts": list(hosts)}
+            self.events.append({"no": self.number, "roster": roster})
+            self.told.notify_all()
+
+    def after(self, number: int) -> list[dict[str, Any]]:
+        with self.told:
+            self.told.wait_for(lambda: self.number > number and self.events, timeout=0.2)
+            return [event for event in self.events if event["no"] > number]
 
     def serve(self) -> None:
         while True:
             sock, _ = self.sock.accept()
             with sock:
-                while b"\r\n\r\n" in sock.recv(4096):
-                    try:
-                        items = [self.events.get(timeout=0.2)]
-                    except Empty:
-                        items = []
-                    body = json.dumps({"no": self.number, "items": items})
+                while b"\r\n\r\n" in (asked := sock.recv(4096)):
+                    number = int(asked.split(b"after=")[1].split(b"&")[0])
+                    items = self.after(number)
+                    body = json.dumps({"no": items[-1]["no"] if items else number, "items": items})
                     sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
 
@@ -151,6 +159,7 @@
         conf["limits"].update({"dial_timeout_ns": 500_000_000, "probes": True, "max_open": 100, **more})
         conf["stats"] = {"columns": ["free", "size", "hold_back", "avg_ms"]}
         items = [{"no": 1, "roster": {"seq": 1, "whole": True, "hosts": list(hosts)}}] if hosts else []
+        self.bulletin.number = len(items)
         conf = replaced or conf
         self.text = json.dumps(
             {
@@ -1039,6 +1048,35 @@
     assert client._after == 3  # asked for again where it is now
 
 
+def event_of(number: int, host: str) -> dict[str, Any]:
+    return {"no": number, "roster": {"whole": False, "hosts": [line_of(host)]}}
+
+
+@pytest.mark.parametrize(
+    ("answers", "heard", "after"),
+    [
+        ([(5, [4, 5])], [4, 5], 5),
+        ([(5, [5, 4])], [4, 5], 5),  # in their order, whatever theirs was
+        ([(3, [2, 3]), (4, [3, 4])], [4], 4),  # old ones, and one that comes again
+        ([(2, [])], [], 3),  # an old number
+        ([(6, [6]), (6, [4, 5, 6])], [4, 5, 6], 6),  # a jump: asked for again, and all of it is heard
+        ([(9, []), (4, [4])], [4], 4),  # a number alone
+        ([(6, [6]), (6, [6])], [6], 6),  # missing twice: not there to be had
+    ],
+)
+def test_a_list_that_repeats_itself_or_jumps_is_followed_in_order(
+    monkeypatch: pytest.MonkeyPatch, answers: list[tuple[int, list[int]]], heard: list[int], after: int
+) -> None:
+    found: list[bulletin.Roster] = []
+    client = bulletin.Client("", 3, found.append)
+    for no, items in answers:
+        answer = {"no": no, "items": [event_of(number, "s-1") for number in items]}
+        monkeypatch.setattr(client, "_get", lambda path, answer=answer: answer)
+        with contextlib.suppress(bulletin.BadAnswer):
+            client.once()
+    assert ([event.number for event in found], client._after) == (heard, after)
+
+
 def test_an_address_that_is_none_fails_like_any_other() -> None:
     inbox: links.Inbox = SimpleQueue()
     links.dial("127.0.0.1:99999", 500_000, inbox, None, links.Reader())
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -82,6 +82,16 @@
     return last, events
 
 
+def missing_after(answer: Any, after: int) -> int:
+    """How many of the events after that number an answer lacks, up to the last that it speaks of."""
+    numbers = set()
+    for item in answer["items"]:
+        with contextlib.suppress(*UNREADABLE):
+            numbers.add(int(item["no"]))
+    last = int(answer["no"])
+    return max(last - after, 0) - sum(after < number <= last for number in numbers)
+
+
 def _readable(lines: Any) -> tuple[Listed, ...]:
     found = []
     for line in lines:
@@ -117,6 +127,7 @@
         self._where, self._after, self._hand_on = where, after, hand_on
         self._random, self._grace_s = random or Random(), grace_s
         self._held_ms = 0  # by the call that is out
+        self._gap = (0, 0, 0)  # the last answer that jumped: after which number, to which, over how many
         self._sock: socket.socket | None = None
         self._to = ""  # where that leads
         self._rest = b""
@@ -154,11 +165,17 @@
     def once(self) -> None:
         """One call; what it brought is handed on, which must not wait."""
         self._held_ms = phases.list_held_ms(self._random)
-        last, events = read_events(self._get(f"/bulletins?after={self._after}&patience={self._held_ms}"))
+        answer = self._get(f"/bulletins?after={self._after}&patience={self._held_ms}")
+        last, events = read_events(answer)
+        gap = (self._after, last, missing_after(answer, self._after))
+        if gap[2] and gap != self._gap:
+            # A drain may be among them: asked for again. What is missing twice is not there to be had.
+            self._gap = gap
+            raise BadAnswer(f"{gap[2]} events after {self._after} are missing")
         with self._lock:  # against `move`, after which the old address has nothing to say any more
             if self._to != self._where:
                 raise BadAnswer("moved while this was on its way")
-            for event in events:
+            for event in sorted(events, key=lambda event: event.number):
                 if event.number > self._after:
                     self._hand_on(event)
                     self._after = event.number
