--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -66,6 +66,8 @@
         ((ASKED, LEFT, came(1.249), ended(1.3, "given up", "b")), []),
         ((ASKED, LEFT, came(1.251), ended(1.3, "given up", "b")), ["left"]),
         ((ASKED, CAME, ended(1.15, "full"), LEFT, came(1.251), ended(1.3, "given up", "b")), ["left"]),
+        ((ASKED, CAME, LEFT, ended(1.2, "given up")), []),  # and no answer is owed,
+        ((ASKED, LEFT, FINAL), ["lost"]),  # though none may be made up
         ((ASKED, LEFT, Event(1.2, What.BROKE, 0, why="callers", value=1.0), came(1.251)), []),
         ((Event(5.0, What.FELL, -1, 0, "a", "20 at 3 a second"),), ["cold"]),
         ((ASKED, CAME, STOOD, FINAL, OVER), ["release"]),
--- a/wickstep/rehearsal/callers.py
+++ b/wickstep/rehearsal/callers.py
@@ -195,7 +195,7 @@
         wait_ms = int(1000 * self.plan.wait_s)
         first = self.random.randrange(self.servers)
         message = SetUp(call, CLASS, wait_ms, f"{call:016x}", b"offer", first_choice=first)
-        if self.random.random() >= self.plan.leave:
+        if not self.plan.leave or self.random.random() >= self.plan.leave:
             return self.ask(desk, message)
         why = self.random.choice(LEAVING)
         if why != "given up":
--- a/wickstep/rehearsal/judge.py
+++ b/wickstep/rehearsal/judge.py
@@ -74,8 +74,8 @@
     def finals(self) -> Iterator[Breach]:
         for call, events in self.by_call.items():
             asked = [event for event in events if event.what is What.ASKED]
-            if not asked or any(event.what is What.LEFT for event in events):
-                continue  # nothing is owed to who has left
+            if not asked:
+                continue
             finals = [event for event in events if event.what is What.FINAL]
             first, due = asked[0], asked[-1].at + asked[-1].value
             if len(finals) > 1:
@@ -83,6 +83,8 @@
             served = any(event.why == "stands" for event in events if event.server)
             if finals and finals[0].why == "stands" and not served:
                 yield Breach(finals[0].at, "lost", f"{call:x}: served by nobody")
+            if any(event.what is What.LEFT for event in events):
+                continue  # nothing is owed any more
             excused = self.excused(first.softswitch, first.at, due + SLACK_S)
             if not finals and due + LATE_S < self.lasted and not excused:
                 yield Breach(due, "lost", f"{call:x}: no final answer")
