--- a/wickstep/benchlink.py
+++ b/wickstep/benchlink.py
@@ -78,6 +78,9 @@
         first_choice=-1 if f[8] == "-" else int(f[8]),
         repeat=_bool(f[11]),
         transit=_bool(f[13]),
+        tenant=_number(f[4]),
+        callee="" if f[5] == "-" else f[5],
+        advice=-1 if f[10] == "-" else int(f[10]),
     )
 
 
--- a/wickstep/interface.py
+++ b/wickstep/interface.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import Any
 
+PEER_MOST = 256  # bytes of one message between softswitches
+
 
 class Effect(Enum):
     """What a repeated set-up of a class may do."""
@@ -57,6 +59,11 @@
     length: int = 0  # mean length of a call; 0: unknown
 
 
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    quota: float  # requests a second over all softswitches that count in full; math.inf: no limit
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """What one deployment tells its edge proxies at start-up."""
@@ -78,6 +85,9 @@
     heeds_retry_after: bool
     list_on_request: bool
     own_number: int
+    tenants: tuple[Tenant, ...] = ()
+    over_quota_worth: float = 1.0  # part of a call's worth that is left of it beyond its tenant's quota
+    ordinal: int = 0  # of this softswitch among its peers
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "classes", "at least one class is needed")
@@ -92,6 +102,9 @@
             _require(item.length >= 0, "length", "must not be negative")
             _require(item.worth >= 0, "worth", "must not be negative")
             _require(0 <= item.late_worth <= 1, "late_worth", "must lie between 0 and 1")
+        for tenant in self.tenants:
+            _require(tenant.quota >= 0, "quota", "must not be negative")
+        _require(0 <= self.over_quota_worth <= 1, "over_quota_worth", "must lie between 0 and 1")
 
 
 def _require(condition: bool, field: str, text: str) -> None:
@@ -130,6 +143,9 @@
     repeat: bool = False  # the caller dialled again
     transit: bool = False  # handed over by another proxy: only the first choice will do
     candidates: tuple[int, ...] = ()  # numbers of the servers it may go to, in order; none: any, as before
+    tenant: int = -1  # its place in the settings; -1: none that they know
+    callee: str = ""  # the number called; empty: unknown
+    advice: int = -1  # number of the server that had most room at a centre's last look, seconds ago; -1: none
 
 
 @dataclass(slots=True, frozen=True)
@@ -173,8 +189,8 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerMessage:
-    sender: int
-    payload: bytes
+    sender: int  # ordinal of the softswitch that sent it
+    payload: bytes  # at most `PEER_MOST`; untrusted
 
 
 Event = (
@@ -230,8 +246,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Message:
-    target: int | None  # None: every peer
-    payload: bytes
+    target: int | None  # ordinal of the receiver; None: every peer
+    payload: bytes  # at most `PEER_MOST`
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickstep/settings.py
+++ b/wickstep/settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import isfinite
+from math import inf, isfinite
 from typing import Any, TypeVar
 
 from wickstep import interface as api
@@ -25,6 +25,7 @@
     "can_take": "can_take",
     "free": "free",
     "size": "lines",
+    "hold_back": "hold_back",
 }
 
 
@@ -52,6 +53,12 @@
                 length=of_class(lengths, position, "family_info.call_length_ns", int) or 0,
             )
         )
+    tenants = []
+    for position, item in enumerate(listed(conf, "parties", "parties") if conf.get("parties") else ()):
+        if not isinstance(item, dict):
+            raise ValueError(f"setting parties[{position}]: {item!r} is no tenant")
+        quota = real(item, "quota_per_s", f"parties[{position}].quota_per_s", inf)
+        tenants.append(api.Tenant(quota))
     return api.Settings(
         classes=tuple(classes),
         proxies=whole(conf, "peers_total", "peers_total"),
@@ -70,6 +77,9 @@
         heeds_retry_after=bool(limits.get("retry_after")),
         list_on_request=conf.get("registry_mode") == "ask",
         own_number=whole(info, "this_node", "family_info.this_node", -1),
+        tenants=tuple(tenants),
+        over_quota_worth=real(conf, "over_share_worth", "over_share_worth", 1.0),
+        ordinal=whole(conf, "ordinal", "ordinal", 0),
     )
 
 
