Tell the module each call's tenant, number called and a centre's advice

Need: the module is to weigh calls by their tenants' quotas and a centre's advice; the set-up carries both (parameter 66, `via` of parameter 69) and neither was read. A `via` that is no whole number was malformed and ended its connection, with the other calls on it.

Ruled out: reading `via` with the other figures, strictly, since a hint must cost no call anything; a name of any length, since it is kept as long as its call (255 bytes at most); a message type of its own for what was passed over, since a number in the set-up says it.

Change: the codec takes `via` out before the other figures are read, as strictly as before. Nonsense in either, of any length and any byte, is passed over; a semicolon ends `via` as it ends every figure. Names are turned into places by the settings' `parties`, each of which must have a name. `set_up_fields_passed_over` counts nonsense and names that the settings do not know. No existing test speaks of `via` that is no number; none was changed.

--- a/wickstep/net/__init__.py
+++ b/wickstep/net/__init__.py
@@ -55,6 +55,9 @@
     width: int = 1  # lines that the call takes
     repeat: bool = False  # the caller dialled again
     again: bool = False  # the call was cut and comes again
+    tenant: str = ""  # as the caller names it; empty: none
+    advice: int = -1  # number of the server that a centre advises; -1: none
+    passed_over: int = 0  # fields that made no sense, and that a call can be served without
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import IntEnum
 
 from wickstep.net import (
@@ -32,6 +32,9 @@
 PARAMETER = struct.Struct(">BH")
 LENGTH_FIELD = 2
 LEAST = HEAD.size - LENGTH_FIELD
+TENANT_MOST = 255  # bytes of a tenant's name: it is kept as long as its call
+ADVICE_MOST = 2**31  # numbers of servers that a centre may advise lie below
+ADVICE_CHARACTERS = 16  # and are written with no more: Python would read thousands
 FIGURES_MOST = 64  # in one parameter: a message full of them would come to 25 times its size
 
 
@@ -48,7 +51,7 @@
     TEST_RESULT = 53
 
 
-P_CLASS, P_WAIT, P_REPEAT, P_NUMBER, P_FIGURES = 64, 65, 67, 68, 69
+P_CLASS, P_WAIT, P_TENANT, P_REPEAT, P_NUMBER, P_FIGURES = 64, 65, 66, 67, 68, 69
 P_STAY_AWAY, P_NOTE, P_REPORT, P_CAUSE, P_DESCRIPTION = 70, 71, 73, 78, 79
 
 CAUSES = {
@@ -183,13 +186,21 @@
     return int(text)
 
 
-def _figures(values: dict[int, bytes], code: int) -> dict[str, float]:
-    """`name:value;name:value`; a value may be left open as `-`."""
-    figures: dict[str, float] = {}
-    pairs = _text(values, code).split(";", FIGURES_MOST)
+def _pairs(values: dict[int, bytes], code: int) -> list[bytes]:
+    pairs = values.get(code, b"").split(b";", FIGURES_MOST)
     if len(pairs) > FIGURES_MOST:
         raise Malformed(f"parameter {code} holds too many figures")
-    for pair in filter(None, pairs):
+    return pairs
+
+
+def _figures(pairs: Iterable[bytes], code: int) -> dict[str, float]:
+    """`name:value;name:value`; a value may be left open as `-`."""
+    figures: dict[str, float] = {}
+    for raw in filter(None, pairs):
+        try:
+            pair = raw.decode()
+        except UnicodeDecodeError as trouble:
+            raise Malformed(f"parameter {code} is not text") from trouble
         name, colon, value = pair.partition(":")
         if not colon:
             raise Malformed(f"parameter {code} holds a figure without a value")
@@ -203,13 +214,38 @@
 
 
 def _report(values: dict[int, bytes]) -> Report:
-    return _figures(values, P_REPORT)
+    return _figures(_pairs(values, P_REPORT), P_REPORT)
+
+
+def _tenant(raw: bytes) -> str | None:
+    """A tenant's name; empty: none is given, None: it makes no sense."""
+    try:
+        return raw.decode() if len(raw) <= TENANT_MOST else None
+    except UnicodeDecodeError:
+        return None
+
+
+def _advice(pair: bytes) -> int | None:
+    """The server that a centre advises; -1: none, None: it makes no sense."""
+    value = pair.partition(b":")[2]
+    if value in (b"", b"-") and pair != b"via":
+        return -1
+    try:
+        number = float(value) if len(value) <= ADVICE_CHARACTERS else -2.0
+    except ValueError:
+        return None
+    return int(number) if number.is_integer() and -1 <= number < ADVICE_MOST else None
 
 
 def _set_up(call: int, values: dict[int, bytes]) -> SetUp:
-    figures = {"dest": -1.0, "width": 1.0, "via": -1.0, "again": 0.0, **_figures(values, P_FIGURES)}
+    pairs = _pairs(values, P_FIGURES)
+    # A centre's advice and a tenant's name are hints: one that makes no sense costs its call nothing.
+    told = [pair for pair in pairs if pair.partition(b":")[0] == b"via"]
+    hints = (_tenant(values.get(P_TENANT, b"")), _advice(told[-1]) if told else -1)
+    others = (pair for pair in pairs if pair not in told)
+    figures = {"dest": -1.0, "width": 1.0, "again": 0.0, **_figures(others, P_FIGURES)}
     # `inf` and `nan` are no whole numbers.
-    if not all(figures[name].is_integer() for name in ("dest", "width", "via", "again")):
+    if not all(figures[name].is_integer() for name in ("dest", "width", "again")):
         raise Malformed("a figure is no whole number")
     return SetUp(
         call=call,
@@ -221,6 +257,9 @@
         width=int(figures["width"]),
         repeat=_text(values, P_REPEAT) == "1",
         again=figures["again"] == 1.0,
+        tenant=hints[0] or "",
+        advice=-1 if hints[1] is None else hints[1],
+        passed_over=hints.count(None),
     )
 
 
@@ -236,9 +275,12 @@
                 (P_NUMBER, message.number.encode()),
                 (P_DESCRIPTION, message.description),
                 (P_REPEAT, b"1" if message.repeat else b""),
+                (P_TENANT, message.tenant.encode()),
             ]
-            if message.first_choice >= 0:
-                figures = f"dest:{message.first_choice}" + ";again:1" * message.again
+            figures = f"dest:{message.first_choice}" + ";again:1" * message.again
+            if message.advice >= 0:
+                figures += f";via:{message.advice}"
+            if message.first_choice >= 0 or message.advice >= 0:
                 values.append((P_FIGURES, figures.encode()))
         case Progress():
             kind = Kind.PROGRESS
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -126,6 +126,7 @@
     max_ended: int  # ended calls that are remembered
     dial_timeout: int
     operator: str = ""  # the operators' address; empty: there is none
+    tenants: dict[str, int] = field(default_factory=dict)  # places in the settings, by name
     inherited: int | None = None  # descriptor of the callers' listening socket, where the platform holds it
 
     @classmethod
@@ -138,6 +139,8 @@
         limits, classes = section(conf, "limits"), conf["classes"]
         widths = section(conf, "family_info").get("widths")
         names = [str(need(item, "name", f"classes[{place}].name")) for place, item in enumerate(classes)]
+        parties = enumerate(conf.get("parties") or ())
+        tenants = {str(need(item, "name", f"parties[{place}].name")): place for place, item in parties}
         max_open = whole(limits, "max_open", "limits.max_open", 0) or 20000
         memory_mb = whole(machine, "memory_mb", "limits.memory_mb", 0) or 192
         sockets = whole(machine, "sockets", "limits.sockets", 1024)
@@ -166,6 +169,7 @@
             max_ended=memory_mb * REMEMBERED_PER_MB,
             dial_timeout=(whole(limits, "dial_timeout_ns", "limits.dial_timeout_ns", 0) or SECOND * NS) // NS,
             inherited=int(os.environ["ROUTER_ACCEPT_FD"]) if os.environ.get("ROUTER_ACCEPT_FD") else None,
+            tenants=tenants,
             operator=os.environ.get("ROUTER_OPERATOR") or str(raw.get("operator") or ""),
         )
 
@@ -217,6 +221,7 @@
     klass: int
     caller: Link
     deadline: int
+    tenant: int = -1  # its place in the settings
     attempts: int = 0
     attempt: Attempt | None = None  # the one that is out, or stands
     table: object = None  # of number analysis, as it was when the call was taken in
@@ -885,6 +890,9 @@
                 first_choice=candidates[0] if candidates else call.set_up.first_choice,
                 repeat=call.set_up.repeat,
                 candidates=candidates,
+                tenant=call.tenant,
+                callee=call.set_up.number,
+                advice=call.set_up.advice,
             )
         )
 
@@ -942,7 +950,10 @@
         if trouble or klass is None:
             return self.reject(link, message, trouble)
         deadline = max(at + message.wait_ms * MS - MARGIN, floor.now + MS)
-        call = Call(next(self.serial), message.call, message, klass, link, deadline)
+        tenant = floor.config.tenants.get(message.tenant, -1)
+        if passed_over := message.passed_over + (tenant < 0 and message.tenant != ""):
+            floor.counts["set_up_fields_passed_over"] += passed_over
+        call = Call(next(self.serial), message.call, message, klass, link, deadline, tenant)
         floor.open[call.wire] = floor.numbers[call.number] = link.calls[call.wire] = call
         floor.held += len(message.description)
         floor.notes.taken(call.wire)
