Price free lines by Erlang's loss, hold calls for a line, draw by worth squared

Need: where agents run short the module sent to pools that had told it that nobody is free: 73 to 90% of attempts were turned away as full, up to 7.5 a request, and urgent calls fared worse than look-ups.

Faulty lines: _choices put a first choice without a line last and still sent to it, and fell back to the lines of servers that all had none free; _place refused after half an aim; _passes raised the share to the ratio of worths, which at a share of 0.02 refused half of the urgent calls while look-ups overflowed to the same processor; _thin times (aims of 14%, one set-up out) held six softswitches as if they were two hundred; a caller that rang again counted as a first try with its whole aim, so that 10 to 17% of calls stood late and held agents for it.

Change: a server told to have no line is not asked. The last line is kept for the calls wanted soonest. A call waits for a line for nine tenths of its aim, at most so many as lines come free in time; the rest is refused at once. One draw serves for all servers, with the ratio of worths squared for the worthier. Where callers do not mark repeats, the number called tells when they first rang. Thin is a stream only where one set-up of each softswitch would fill an aim.

--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -1,6 +1,5 @@
 """All decisions of the edge controller. Types, events and actions: see `wickstep/interface.py`.
 
-Reading order: what is remembered, the ordinary path, outcomes, control loop, cold and failing servers, list.
 The mechanism is loss-based overload control after Rogowski and Tarasiuk; docs/design.md lists each departure.
 """
 
@@ -27,8 +26,11 @@
 SAMPLE_MOST = 4.0  # a longer wait presses no harder: it is a jam already
 STEP_MOST = 1.25  # a step changes the share by a quarter at most: waits come late, a faster loop swings
 AIM_PART = 0.35  # the set-up time aimed at lies this far between an idle server's and the shortest aim
-THIN = 1.0  # below this many own set-ups a second no window holds and evidence is late: waits overshoot,
-AIM_THIN = 0.14  # so less is aimed at
+THIN = 1.0  # below this many own set-ups a second, of senders that fill an aim with one each, evidence is
+AIM_THIN = 0.14  # late and no window holds: waits overshoot, so less is aimed at
+AWAY = 1.5  # what a call counts for away from its first choice, where it lasts longer as a rule
+TRIES_MOST = 5  # of one caller for one call; a number called more often has several callers
+CALLEES_MOST = 10_000  # remembered
 ROOM = 0.85  # below this smoothed occupancy a server has room for set-ups of another first choice
 BASE_DRIFT = 1.002  # the shortest set-up time seen is forgotten this slowly, a set-up at a time
 FULL = 2.0  # sample of a refusal, a silence or an error: full twice over
@@ -84,6 +86,7 @@
     rate: float = THIN  # set-ups a second that this proxy may expect to send it
     lines: float = 0.0  # as reported; 0: unknown
     free: float = 0.0  # of them, as last told, less what was sent since
+    told: bool = False  # whether its lines were told: none at all is not the same as unknown
 
 
 @dataclass(slots=True)
@@ -99,8 +102,8 @@
     server: Server | None = None  # where the one attempt is out
     off_at: int = 0  # when that has taken far longer than usual
     blocked_until: int = 0  # release wait
+    draw: float = 1.0
     erred: Server | None = None  # has answered an attempt with an error
-    short: Server | None = None  # had no line for it
     stuck: bool = False  # an attempt may have run, and must not run twice
 
 
@@ -114,18 +117,18 @@
         self.active: list[Server] = []  # those that may be sent to
         self.calls: dict[int, Call] = {}
         self.held: dict[int, Call] = {}
+        self.rung: dict[str, list[int]] = {}  # number called -> when it was first, and how often
         self.rate, self.arrivals = 0.0, 0  # own first tries: a second, and in this interval
-        # Turns by the golden section; its start is drawn, or hundreds that turn away would all ask one other.
-        self.pointer = random.Random(~seed).random()
+        self.freed = 0.0  # own part of the lines that come free in a nanosecond; 0: unknown
+        self.pointer = random.Random(~seed).random()  # turns by the golden section, from a drawn start
         self.out: api.Actions = []
         self.now = self.ticks = 0
-        self.least_worth = min(item.worth for item in settings.classes)
-        self.aim = min(item.aim for item in settings.classes)
+        self.least_worth, self.aim = settings.least_worth, settings.shortest_aim
         pace = min(1.0, self.aim / PACE_AIM)
         self.t_m, self.quiet = int(T_M * pace), int(QUIET * pace)
         self.mark, self.mark_most = int(MARK * pace), int(MARK_MOST * pace)
         self.loss = 0.0  # part of the set-ups whose answer is lost, of late
-        self.length = sum(item.length for item in settings.classes) / len(settings.classes)
+        self.yields, self.length = settings.least_yield, settings.mean_length or math.inf
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Started: self._start, api.ServerList: self._list, api.NewCall: self._new_call,
             api.CallStands: self._stands, api.AttemptEnded: self._ended, api.TimerDue: self._timer,
@@ -140,7 +143,6 @@
         return self.out
 
     def _start(self, event: api.Started) -> None:
-        # Proxies that start together must not step together: the first tick falls at random within T_m.
         self.out.append(api.Wake(TICK_TOKEN, self.now + self.random.randrange(1, self.t_m)))
         if self.settings.list_on_request:
             self.out.append(api.FollowList())
@@ -151,55 +153,63 @@
         if event.call in self.calls or not 0 <= event.klass < len(self.settings.classes):
             return
         klass = self.settings.classes[event.klass]
-        call = self.calls[event.call] = Call(event, klass, self.now + klass.aim, self.now + event.patience)
-        self.arrivals += not event.repeat
+        began = self._began(event)
+        call = self.calls[event.call] = Call(event, klass, began + klass.aim, self.now + event.patience)
+        self.arrivals += not event.repeat and began == self.now
         self._place(call)
         if event.call in self.calls:  # a call refused at once leaves no timer behind
             self.out.insert(0, api.Wake(event.call + 1, call.deadline))
 
+    def _began(self, event: api.NewCall) -> int:
+        """When its caller first rang: where repeats are not marked, the number called tells."""
+        rung, oldest = self.rung, self.now - self.settings.longest_ring
+        while rung and (len(rung) > CALLEES_MOST or next(iter(rung.values()))[0] < oldest):
+            del rung[next(iter(rung))]
+        if self.settings.marks_repeats or not event.callee:
+            return self.now
+        tries = rung.setdefault(event.callee, [self.now, 0])
+        tries[1] += 1
+        return tries[0] if tries[1] <= TRIES_MOST else self.now
+
+    def _has_line(self, call: Call, server: Server) -> bool:
+        """Whether a line is free, and the call worth more than others would pay (docs/design-agents.md)."""
+        if not server.told or server.free < 1 + (call.klass.aim > self.aim and server.lines > 1):
+            return not server.told
+        length = call.klass.length * (1 if server.number == call.event.first_choice else AWAY)
+        price = self.yields * length / (1 + server.free * math.sqrt(2 / math.pi / server.lines))
+        return self._worth(call) > price
+
     def _choices(self, call: Call) -> list[Server]:
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
         wanted, listed = call.event.first_choice, call.event.candidates
-        allowed = [s for s in self.active if self._may_take(call, s)]
-        usable = [s for s in allowed if self.unmarked(s)]
-        if not any(s.free >= 1 or not s.lines for s in usable):
-            # One that errs is marked for what it wastes. Where nobody has a line, some is better than none.
-            usable += [s for s in allowed if s not in usable and s.errors > FAULTY]
-        # Nor one that had no line for it, on a thin stream once, else twice: attempts would all be burnt.
-        usable = [s for s in usable if s is not call.short or s.free >= 1]
+        allowed = [s for s in self.active if self._may_take(call, s) and self._has_line(call, s)]
+        usable = [s for s in allowed if self.unmarked(s)] or [s for s in allowed if s.errors > FAULTY]
         # After an error another server is asked: that tells whose fault it was.
         usable = [s for s in usable if s is not call.erred] or usable
         if listed:  # a route list has an order of its own
             return sorted(usable, key=lambda s: (self._replaced(s), listed.index(s.number)))
         others = [s for s in usable if s.number != wanted and not call.event.transit]
-        # Servers differ twentyfold: each fills a part of the ring by its lines, or its free ones while it has
-        # room, over its shortest set-up time: a slow processor may have lines for three times what it can do.
+        # Each fills a part of the ring by its lines, free ones where it has room, over its set-up time.
         slowest = max((s.base for s in self.active), default=0.0) or 1.0
         parts = [(s.lines + 1) / (s.base or slowest) for s in others]
         roomy = [part * self._roomy(s) for part, s in zip(parts, others, strict=True)]
         luck = call.event.call * math.sqrt(2) % 1  # the same however often it is placed
-        if self.rate < THIN * len(self.active) and 0 < sum(roomy) < luck * sum(parts):
-            # The last with room take their own parts, not those of the pressed: what hundreds of proxies
-            # turn away at the large, each seeing nothing amiss at the small, would bury the small at once.
+        if self._thin(self.rate / max(len(self.active), 1), slowest) and 0 < sum(roomy) < luck * sum(parts):
+            # The last with room take their own parts, not those of the pressed, which would bury the small.
             others, parts, roomy = [], [], []
         free = [s.free / (s.lines + 1) * (not self._replaced(s)) for s in others]
         weights = [a * b for a, b in zip(roomy, free, strict=True)]
         weights = weights if any(weights) else parts
         turn = bisect(list(accumulate(weights)), self.pointer % 1 * sum(weights))
         first = [s for s in usable if s.number == wanted]
-        # One without a free line would only say so, at the cost of its processor: the others come before it.
-        short = [s for s in first if s.lines and s.free < 1]
-        order = [s for s in first if s not in short] + others[turn:] + others[:turn] + short
-        return sorted(order, key=self._replaced)
+        return sorted(first + others[turn:] + others[:turn], key=self._replaced)
 
     def _may_take(self, call: Call, server: Server) -> bool:
         listed, allowed = call.event.candidates, call.klass.allowed
         return (allowed is None or server.number in allowed) and (not listed or server.number in listed)
 
     def _replaced(self, server: Server) -> bool:
-        """Whether a successor can do its work. Then it comes last: it will drain at any moment, and what
-        stands there when it stops is cut.
-        """
+        """Whether a successor can do its work: then it will drain at any moment, and comes last."""
         return server.successor is not None and self._able(server.successor) >= WARM_ENOUGH
 
     def _place(self, call: Call) -> None:
@@ -207,26 +217,30 @@
         if call.attempts >= self.settings.max_attempts or call.stuck:
             return self._refuse(call)
         choices = self._choices(call)
-        if choices and not call.admitted:
-            if not self._passes(call, choices[0]):
-                # Demand drifts: what a pressed server turns away may go where there is room.
-                choices = [s for s in choices[1:] if self._roomy(s)]
-                if not choices:
-                    return self._refuse(call)
-            call.admitted = True
-        for server in choices:
-            if self._ready(server) and (server is choices[0] or self._roomy(server)):
+        if not call.admitted:
+            call.draw = self.random.random()
+        # Demand drifts: what a pressed server turns away may go where there is room.
+        usable = [s for s in choices if self._passes(call, s, first=s is choices[0])]
+        call.admitted = bool(usable)
+        for server in usable:
+            if self._ready(server):
                 return self._send(call, server)
-        able = any(self._may_take(call, s) for s in self.active)
-        if not able or self.now >= min(call.aim_at, call.deadline) - call.klass.aim // 2:
+        able = any(self._may_take(call, s) for s in self.active) and len(usable) >= bool(choices)
+        spare = call.klass.aim // (2 if choices else 10)  # lines come free soon, what is pressed stays so
+        if not able or self.now >= min(call.aim_at, call.deadline) - spare:
             return self._refuse(call)
         self.held[call.event.call] = call
+        if 0 < self.freed * call.klass.aim < len(self.held):
+            self._refuse(min(reversed(self.held.values()), key=self._worth))  # nothing can come in time
 
-    def _passes(self, call: Call, server: Server) -> bool:
-        """The draw against the pass share, blind to who sent the call."""
+    def _passes(self, call: Call, server: Server, first: bool) -> bool:
+        """The draw against the pass share, blind to who sent the call; after the first, room will do."""
+        if call.admitted if first else self._roomy(server):
+            return True
         power = self.least_worth / max(self._worth(call), 1e-9)
+        power = min(power, power**2)  # a pressed processor is for the worthier calls
         chance = server.share * min(1.0, TARGET / server.rho if server.rho else 1.0)
-        return self.random.random() < math.pow(chance, power)
+        return (first or call.klass.worth > self.least_worth) and call.draw < math.pow(chance, power)
 
     def _worth(self, call: Call) -> float:
         """What the call can still earn; a repeated try has its aim behind it as a rule."""
@@ -241,7 +255,8 @@
         if not everyone and not any(self.unmarked(s) and self._ready(s) for s in self.active):
             return  # thousands may be held: nothing can go out, the next tick sees to those held too long
         for call in sorted(self.held.values(), key=self._worth, reverse=True):
-            self._place(call)
+            if call.event.call in self.held:
+                self._place(call)
 
     def _send(self, call: Call, server: Server) -> None:
         if server.number != call.event.first_choice:
@@ -252,8 +267,7 @@
         server.out[call.event.call] = self.now
         server.credit -= 1
         server.free = max(0.0, server.free - 1)
-        # While answers get lost, a set-up out for three times the usual is called off, if another attempt can
-        # still make its aim. Covers silent servers too; costs work where a server has just slowed down.
+        # While answers get lost, what is out for three times the usual is tried again, if in time.
         usual = int((server.rho or 1.0) * self._target_time(server))
         call.off_at = self.now + 3 * usual
         if self.loss > LOSSY and call.off_at + self.settings.release_wait + usual < call.aim_at:
@@ -290,8 +304,10 @@
             self._call_off(call.server, event.token - 1, lost=False)
 
     def _stands(self, event: api.CallStands) -> None:
+        server, call = self.servers.get(event.server), self.calls.get(event.call)
+        if call is not None:
+            self.rung.pop(call.event.callee, None)  # its caller rings no more
         self._drop(event.call)
-        server = self.servers.get(event.server)
         if server is None or event.call not in server.out:
             return
         sent = server.out.pop(event.call)
@@ -332,8 +348,6 @@
             if call.erred is not None and (erring is None or erring.errors < FAULTY):
                 return self._fail(event.call)  # twice: no server can use it
             call.erred = erring
-        if event.no_line and (call.attempts > 1 or 0 < self.rate < THIN * len(self.active) / 4):
-            call.short = self.servers.get(event.server)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             call.blocked_until = self.now + self.settings.release_wait
         proven = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -354,8 +368,7 @@
             server.free = 0.0
         if event.outcome in (Outcome.FULL, Outcome.ENDED, Outcome.ERROR):
             server.alive_at = self.now
-        # An error is the call's as a rule, whose caller has sent what no server can use; a reset is the
-        # connection's, with all that was out on it. Again and again with no call that stands: the server's.
+        # As a rule an error is the call's and a reset the connection's; again and again, the server's.
         odd = event.outcome is Outcome.RESET and not event.call_over
         if odd or (event.outcome is Outcome.ERROR and not event.callee_busy):
             server.odd += server.odd_at != self.now  # what comes at once has one cause
@@ -370,11 +383,8 @@
         """Fold a reported wait, or queue over rate, into the evidence; nonsense is passed over."""
         free, lines = report.get("free", -1.0), report.get("lines", -1.0)
         if 0 <= free <= lines < math.inf:
-            server.free, server.lines = free, lines
-        wait, waiting, rate = (report.get(name, -1.0) for name in ("wait_ms", "waiting", "can_take"))
-        if wait < 0 <= waiting and rate > 0:
-            wait = 1000 * waiting / rate
-        if math.isfinite(wait) and wait >= 0:
+            server.free, server.lines, server.told = free, lines, True
+        if 0 <= (wait := api.reported_wait(report)) < math.inf:
             server.alive_at = self.now
             self._overtaken(server, self.now - QUIET - server.base - wait * 1e6)
             self._witness(server, (server.base + wait * 1e6) / self._target_time(server))
@@ -383,9 +393,12 @@
         server.evidence.append(min(sample, SAMPLE_MOST))
         server.heard_at = self.now
 
+    def _thin(self, rate: float, base: float) -> bool:
+        return rate < THIN and (not base or self.settings.proxies * base > self.aim)
+
     def _target_time(self, server: Server) -> float:
         """The set-up time aimed at."""
-        part = AIM_PART if server.rate >= THIN else AIM_THIN
+        part = AIM_THIN if self._thin(server.rate, server.base) else AIM_PART
         return server.base + part * max(self.aim - server.base, self.aim / 4)
 
     def _probed(self, event: api.ProbeAnswered) -> None:
@@ -404,6 +417,7 @@
         self.arrivals = 0
         probing = self.settings.may_probe and self.ticks % PROBE_EVERY == 0
         lines = sum(server.lines + 1 for server in self.active)
+        self.freed = sum(s.lines for s in self.active) / (self.length * self.settings.proxies)
         for server in self.active:
             server.rate = self.rate * (server.lines + 1) / lines
             self._sample(server)
@@ -445,42 +459,35 @@
     # Cold servers: a budget of sends within the window of the fall rule.
 
     def _ready(self, server: Server) -> bool:
-        """Whether one more set-up may go out: the window, and a bucket that in no span of the fall rule lets
-        pass more than this proxy's part of what a cold server may be sent.
-
-        The capacity is told nowhere; calls of the usual length that fill the lines come to about as many a
-        second (some servers can do half of it). An even part is a bound in sum; a small stream takes less.
-        """
-        if len(server.out) >= (server.window if server.rate >= THIN else WINDOW_LEAST):
+        """Whether one more set-up may go out: the window, and a cold server's bucket, filled by its lines."""
+        if len(server.out) >= (WINDOW_LEAST if self._thin(server.rate, server.base) else server.window):
             return False
         rules = self.settings
-        age = max(self.now - server.cold_since, 0)
         quick = server.alive_at > 0 and (server.rho or ROOM) < ROOM  # not by silence
-        if server.cold_since <= 0 or age >= (1 if quick else 2) * rules.ramp_time:
+        if self._age(server) >= (1 if quick else 2) * rules.ramp_time:
             return True
         able = self._able(server)
         # Of a server whose lines nobody has told yet, no more is believed than of the smallest.
         lines = server.lines or min((s.lines for s in self.active if s.lines), default=0.0)
-        fair = lines * SECOND / ((self.length or math.inf) * rules.proxies) or self.rate / len(self.active)
+        fair = lines * SECOND / (self.length * rules.proxies) or self.rate / len(self.active)
         rate = min(fair, (fair + server.rate) / 2)
         most = COLD_MARGIN * rules.fall_multiple
         budget = max(most * able * rate * rules.fall_window / SECOND, 1 / rules.proxies)  # never nothing
         if server.credit_at < server.cold_since:
             server.credit, server.credit_at = self.random.random(), self.now
         server.credit += (1 - COLD_BURST) * budget * (self.now - server.credit_at) / rules.fall_window
-        # It flows from the first look at the new process, and what is not used in time is lost: a send saved
-        # by each of hundreds of proxies, told at once or met by a jump, is a flood; hurts if calls are few.
+        # What is not used in time is lost: a send saved by each of hundreds of proxies is a flood.
         server.credit -= max(0, math.ceil(server.credit - COLD_BURST * budget) - 1)
         server.credit_at = self.now
         return server.credit >= 1
 
     def _able(self, server: Server) -> float:
         """What part of its capacity a server has at least, by its age."""
-        rules = self.settings
-        if server.cold_since <= 0:
-            return 1.0
-        age = max(self.now - server.cold_since, 0)
-        return min(1.0, rules.cold_from + (1 - rules.cold_from) * age / max(rules.ramp_time, 1))
+        cold_from, ramp_time = self.settings.cold_from, max(self.settings.ramp_time, 1)
+        return min(1.0, cold_from + (1 - cold_from) * self._age(server) / ramp_time)
+
+    def _age(self, server: Server) -> float:
+        return max(self.now - server.cold_since, 0) if server.cold_since > 0 else math.inf
 
     # Failing servers.
 
@@ -495,16 +502,13 @@
             server.fails += 1
             server.window = max(WINDOW_LEAST, server.window / 2)
             mark, most = self.mark, self.mark_most
-            if server.rate < THIN and server.fails >= SUSPECT:
-                # Own set-ups come seconds apart: tried by hundreds after each short mark, it stays down.
+            if self._thin(server.rate, server.base) and server.fails >= SUSPECT:
                 mark = max(mark, int(SECOND / max(server.rate, LEAST_RATE)))
                 most = max(most, self.settings.proxies * SECOND // TRIALS)
             server.mark_until = self.now + min(mark << min(server.fails - 1, 10), most)
 
     def _overtaken(self, server: Server, before: float) -> None:
-        """Set-ups sent well before one that now stands, or before all that a report says is waiting, are
-        lost: a processor works in turn. Costs a try where servers work out of turn, or reports come late.
-        """
+        """What went out well before a set-up that stands, or all that waits, is lost: work goes in turn."""
         for number in [number for number, at in server.out.items() if at < before]:
             self._call_off(server, number)
 
@@ -526,10 +530,10 @@
         for entry in event.entries:
             old = self.servers.get(entry.server)
             if old is None or entry.started > old.started:
-                # A new process: what was learnt of the old one's load is void; what is out there stays out.
-                new = Server(entry.server, entry.number, entry.started, entry.started)
+                new = Server(entry.server, entry.number, entry.started, entry.started)  # its load is unknown
                 if old is not None:
-                    new.out, new.base, new.free, new.lines = old.out, old.base, old.free, old.lines
+                    new.out, new.base, new.told = old.out, old.base, old.told
+                    new.free, new.lines = old.free, old.lines
                 self.servers[entry.server] = new
             self.servers[entry.server].state = entry.state
             self.servers[entry.server].told_at = self.now
@@ -537,9 +541,7 @@
             if server.state is ServerState.GONE and not server.out and self.now - server.told_at > FORGET:
                 del self.servers[name]  # its successors have names of their own: the table would only grow
         self.active = [server for server in self.servers.values() if server.state is ServerState.ACTIVE]
-        latest: dict[int, Server] = {}  # by number
-        for server in sorted(self.active, key=lambda s: s.started):
-            latest[server.number] = server
+        latest = {server.number: server for server in sorted(self.active, key=lambda s: s.started)}
         for server in self.active:
             last = latest[server.number]
             server.successor = last if last.started > server.started else None
--- a/wickstep/interface.py
+++ b/wickstep/interface.py
@@ -57,6 +57,7 @@
     effect: Effect
     allowed: frozenset[int] | None  # server numbers this class may use; None: any
     length: int = 0  # mean length of a call; 0: unknown
+    give_up: int = 0  # how long a caller keeps trying, from its first try; 0: unknown
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,6 +88,7 @@
     own_number: int
     tenants: tuple[Tenant, ...] = ()
     over_quota_worth: float = 1.0  # part of a call's worth that is left of it beyond its tenant's quota
+    marks_repeats: bool = True  # callers that dial again say so
     ordinal: int = 0  # of this softswitch among its peers
 
     def __post_init__(self) -> None:
@@ -107,6 +109,36 @@
         _require(0 <= self.over_quota_worth <= 1, "over_quota_worth", "must lie between 0 and 1")
 
 
+    @property
+    def shortest_aim(self) -> int:
+        return min(item.aim for item in self.classes)
+
+    @property
+    def longest_ring(self) -> int:
+        """How long a caller may keep dialling for one call, in nanoseconds."""
+        return max(item.give_up for item in self.classes)
+
+    @property
+    def mean_length(self) -> float:
+        """Of a call, in nanoseconds; 0 where it is not told."""
+        return sum(item.length for item in self.classes) / len(self.classes)
+
+    @property
+    def least_worth(self) -> float:
+        return min(item.worth for item in self.classes)
+
+    @property
+    def least_yield(self) -> float:
+        """What a line earns in a nanosecond from the calls that earn least; 0 where lengths are not told."""
+        return min(item.worth / item.length if item.length else 0.0 for item in self.classes)
+
+
+def reported_wait(report: Mapping[str, float]) -> float:
+    """Milliseconds at a processor: as told, or what waits there over what it takes; below 0 if not known."""
+    wait, waiting, rate = (report.get(name, -1.0) for name in ("wait_ms", "waiting", "can_take"))
+    return 1000 * waiting / rate if wait < 0 <= waiting and rate > 0 else wait
+
+
 def _require(condition: bool, field: str, text: str) -> None:
     if not condition:
         raise ValueError(f"setting {field}: {text}")
--- a/wickstep/settings.py
+++ b/wickstep/settings.py
@@ -51,6 +51,7 @@
                 effect=EFFECTS.get(str(item.get("effect")), api.Effect.UNSAFE),
                 allowed=frozenset(pool) if pool is not None else None,
                 length=of_class(lengths, position, "family_info.call_length_ns", int) or 0,
+                give_up=whole(item, "give_up_ns", f"{where}.give_up_ns", 0),
             )
         )
     tenants = []
@@ -79,6 +80,7 @@
         own_number=whole(info, "this_node", "family_info.this_node", -1),
         tenants=tuple(tenants),
         over_quota_worth=real(conf, "over_share_worth", "over_share_worth", 1.0),
+        marks_repeats=bool(section(conf, "client_habits").get("marks_retry", True)),
         ordinal=whole(conf, "ordinal", "ordinal", 0),
     )
 
