Draw only where a server may be asked

A call that was held drew at each look and could be refused at a mark's end by another draw than before: two stories that count on it failed (a server passed over is ejected, silence ends in one answer).

--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -217,7 +217,7 @@
         if call.attempts >= self.settings.max_attempts or call.stuck:
             return self._refuse(call)
         choices = self._choices(call)
-        if not call.admitted:
+        if choices and not call.admitted:
             call.draw = self.random.random()
         # Demand drifts: what a pressed server turns away may go where there is room.
         usable = [s for s in choices if self._passes(call, s, first=s is choices[0])]
