Look at those who wait only while a server can take more; calls worth nothing take lines

Samples of the stack: 105 of 107 in _serve_held, which placed every call that waits again at each outcome, over every server. Now an outcome places them, worthiest first, while the server that it is about can take more; the timer looks at all.

A class that is worth nothing was refused where lines are told: its worth is not above a price of nothing.

--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -234,3 +234,9 @@
     server = host.brain.servers["s0"]
     server.base, server.rate = 50.0 * MS, 0.5
     assert sum(len(sent_to(host.call(number))) for number in range(1, 6)) == out
+
+
+def test_calls_that_are_worth_nothing_take_lines_that_nobody_pays_for() -> None:
+    host = Host(servers=1, classes=(replace(LOOK_UP, worth=0.0), URGENT))
+    host.lines(s0=(40, 40))
+    assert sent_to(host.call(1, klass=0)) == ["s0"]
--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -177,7 +177,7 @@
             return not server.told
         length = call.klass.length * (1 if server.number == call.event.first_choice else AWAY)
         price = self.yields * length / (1 + server.free * math.sqrt(2 / math.pi / server.lines))
-        return self._worth(call) > price
+        return self._worth(call) >= price
 
     def _choices(self, call: Call) -> list[Server]:
         """Servers this call may use: its first choice, then the others from the turning pointer on."""
@@ -251,10 +251,11 @@
         pressed = server.share < 1 or (server.rho is not None and server.rho >= ROOM)
         return not pressed and (server.free > 0 or not server.lines)
 
-    def _serve_held(self, everyone: bool = False) -> None:
-        if not everyone and not any(self.unmarked(s) and self._ready(s) for s in self.active):
-            return  # thousands may be held: nothing can go out, the next tick sees to those held too long
+    def _serve_held(self, server: Server | None = None) -> None:
+        """Place those who wait; after news of one server, of thousands maybe, only while it can take more."""
         for call in sorted(self.held.values(), key=self._worth, reverse=True):
+            if server and not (self.unmarked(server) and self._ready(server) and server.free >= server.told):
+                return
             if call.event.call in self.held:
                 self._place(call)
 
@@ -325,7 +326,7 @@
             server.window = max(WINDOW_LEAST, server.window - 1 / server.window)
         elif 2 * len(server.out) >= server.window - 1:
             server.window += 1 / server.window
-        self._serve_held()
+        self._serve_held(server)
 
     def _ended(self, event: api.AttemptEnded) -> None:
         server = self.servers.get(event.server)
@@ -335,7 +336,7 @@
         if call is not None and event.attempt == call.attempts - 1:
             call.server, call.admitted = None, False  # another draw: a jam must not be handed round
             self._go_on(call, event)
-        self._serve_held()
+        self._serve_held(server)
 
     def _go_on(self, call: Call, event: api.AttemptEnded) -> None:
         """The attempt of a call has failed: over, wait for the release, or try again."""
@@ -425,7 +426,7 @@
                 self._step(server)
             if probing and server.share < 1 and self.now - server.heard_at > self.quiet:
                 self.out.append(api.Probe(server.name))
-        self._serve_held(everyone=True)
+        self._serve_held()
 
     def _sample(self, server: Server) -> None:
         """One sample each T_m; an interval without evidence changes nothing while the last is fresh."""
