Read a replaced connection on until its server ends it: releases came there and were lost

Observed: a release that a setup server writes on a replaced connection after the softswitch has closed it and before the server notices never reaches its caller. Forced in order over loopback: it is lost where a connection is retired and where one is broken off. Ruled out: one written before the close is read and passed on, also unread. Faulty: Link._shut() shut both directions, so that the kernel answers what still comes with a reset; retire() and break_off() call it while calls stand that were set up there, whose releases come there. Change: both end our side only and read on to the server's end, for 2 s at most and with at most four connections to one server. On such a connection a release of an attempt that was broken off does not end the next one, and what another server says of a call that stands is a stray (it ended the call in the first 30 s after a start). Left: a connection closed with set-ups out, as the oldest of three replaced ones, is still shut both ways.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -9,6 +9,7 @@
 import gc
 import json
 import math
+import select
 import signal
 import socket
 import subprocess
@@ -23,6 +24,7 @@
 
 import pytest
 
+from wickstep.interface import Outcome
 from wickstep.net import (
     Answer,
     GroupState,
@@ -848,6 +850,114 @@
     caller.hear(Answer, call)
 
 
+def replace_connection(town: Town, server: Server) -> Peer:
+    """Have another connection to the server made beside the one there is, as where that one is doubted."""
+    assert town.switch is not None
+    floor, reader = town.switch.floor, town.switch.send.reader
+    links.dial(server.dial, 500_000, floor.inbox, floor.servers["s-1"], reader)
+    return server.accept()
+
+
+def told_the_end(trunk: Peer) -> None:
+    """Wait until the softswitch has ended its side, and leave that unread: the server has yet to notice."""
+    poll = select.poll()
+    poll.register(trunk.sock, select.POLLRDHUP)
+    assert poll.poll(PATIENCE * 1000)
+
+
+@pytest.mark.parametrize("written", ["before", "before it notices"])
+def test_a_release_on_a_replaced_connection_reaches_its_caller(one: One, written: str) -> None:
+    town, server, trunk, caller = one
+    call = stands(town, trunk, caller)
+    assert town.switch is not None
+    link = town.switch.floor.servers["s-1"].link
+    assert link is not None
+    held, pump = threading.Event(), link.pump
+    setattr(link, "pump", lambda: held.wait(PATIENCE) and pump())  # noqa: B010
+    if written == "before":  # and nobody has read it when the connection is replaced
+        trunk.say(Release(call, Reason.CLEARED))
+    again = replace_connection(town, server)
+    told_the_end(trunk)
+    if written != "before":
+        trunk.say(Release(call, Reason.CLEARED))
+    held.set()
+    assert caller.hear(Release, call).reason is Reason.CLEARED
+    stands(town, again, caller)
+
+
+def break_off_at_the_next_look(monkeypatch: pytest.MonkeyPatch) -> None:
+    def judge(send: Any, server: Any, link: Any, quiet: int) -> None:
+        send.break_off(server, link, Outcome.RESET)
+
+    monkeypatch.setattr(module.Send, "judge", judge)
+
+
+def test_a_release_on_a_connection_broken_off_reaches_its_caller(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, server, trunk, caller = one
+    call, late = stands(town, trunk, caller), town.call(caller)
+    trunk.hear(SetUp, late)
+    break_off_at_the_next_look(monkeypatch)
+    again = replace_connection(town, server)
+    told_the_end(trunk)
+    trunk.say(Release(call, Reason.CLEARED))  # it was slow and not dumb
+    assert caller.hear(Release, call).reason is Reason.CLEARED
+    again.hear(SetUp, late)
+    again.say(Answer(late, b"accept"))
+    caller.hear(Answer, late)
+    assert town.switch is not None
+    assert town.switch.floor.counts["links_dumb"] == 1
+
+
+def test_the_end_of_an_attempt_broken_off_is_not_taken_for_that_of_the_next(
+    one: One, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    town, server, trunk, caller = one
+    call = town.call(caller)
+    trunk.hear(SetUp, call)
+    break_off_at_the_next_look(monkeypatch)
+    again = replace_connection(town, server)
+    told_the_end(trunk)
+    again.hear(SetUp, call)
+    again.say(Answer(call, b"accept"))
+    caller.hear(Answer, call)
+    trunk.say(Release(call, Reason.FULL))
+    wait_for(lambda: town.switch is not None and town.switch.floor.counts["strays"] == 1)
+    again.say(Release(call, Reason.CLEARED))
+    assert caller.hear(Release, call).reason is Reason.CLEARED
+
+
+def test_what_another_server_says_of_a_call_that_stands_does_not_end_it(town: Town) -> None:
+    server, other = Server(), Server()
+    town.open(line(server, "s-1"), line(other, "s-2", 1, health="Terminating"))
+    trunk, strange, caller = server.accept(), other.accept(), town.caller()
+    call = stands(town, trunk, caller)
+    strange.say(Release(call, Reason.FULL))  # of an attempt there that was given up
+    wait_for(lambda: town.switch is not None and town.switch.floor.counts["strays"] == 1)
+    trunk.say(Release(call, Reason.CLEARED))
+    assert caller.hear(Release, call).reason is Reason.CLEARED
+
+
+@pytest.mark.parametrize("bound", ["time", "count"])
+def test_a_replaced_connection_whose_server_never_ends_it_is_closed_nevertheless(
+    one: One, monkeypatch: pytest.MonkeyPatch, bound: str
+) -> None:
+    town, server, trunk, caller = one
+    monkeypatch.setattr(module, "PARTING", 50_000 if bound == "time" else 10**9)
+    monkeypatch.setattr(module, "SILENT", 10**9)  # no other replaces it meanwhile
+    stands(town, trunk, caller)
+    assert town.switch is not None
+    known = town.switch.floor.servers["s-1"]
+    link = known.link
+    trunks = [trunk]
+    for _ in range(1 if bound == "time" else module.LINKS_MOST):
+        trunks.append(replace_connection(town, server))
+        told_the_end(trunks[-2])
+    wait_for(lambda: link is not None and link.closed)
+    assert 1 + len(known.retiring) + len(known.parting) <= module.LINKS_MOST
+
+
 def test_a_server_that_takes_no_newcomers_is_not_dialled_at_every_look(
     one: One, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -172,6 +172,7 @@
         self._lock = threading.RLock()  # over the outbox and what follows
         self._writing = False  # a writer is at work
         self._last = False  # nothing may be added, what is there is still written
+        self._hears = False  # though told to end, until the peer ends too
         self._waits = 0
         self._users = 1  # threads that still use the socket
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -269,24 +270,29 @@
             return True  # freed: the reader has come to its end
         return bool(poll.poll(0))
 
-    def close(self) -> None:
-        """Close at once; the threads come back and the reader says so."""
+    def close(self, hears: bool = False) -> None:
+        """Close at once; the threads come back and the reader says so.
+
+        With `hears` only our side ends: what the peer writes until it notices is still read, to its end or
+        to a plain close. Whoever asks for that sees to the latter.
+        """
         with self._lock:
-            self._last = True
+            self._last, self._hears = True, hears
             self._outbox.clear()
         self._shut()
 
-    def finish(self) -> None:
+    def finish(self, hears: bool = False) -> None:
         """Nothing more will be said; what is queued is still written."""
         with self._lock:
-            self._last = True
+            self._last, self._hears = True, hears
             if self._writing:
                 return  # the writer closes after the last word
         self._shut()
 
     def _shut(self) -> None:
         with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)  # the reader comes back
+            # Shut for reading too, the kernel answers what comes from then on with a reset.
+            self.sock.shutdown(socket.SHUT_WR if self._hears else socket.SHUT_RDWR)
 
     def drained(self) -> bool:
         return self._waiting == 0
@@ -395,7 +401,7 @@
             try:
                 self.sock.sendall(data)
             except OSError:
-                self.close()  # clears the outbox too
+                self.close(self._hears)  # clears the outbox too
             with self._lock:
                 self._waiting -= len(data)
         if self._last:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -77,6 +77,7 @@
 WATCH_IDLE = 200 * MS  # and where nothing is out
 REDIAL_FIRST, REDIAL_MOST = 250 * MS, 2 * SECOND
 LINKS_MOST = 4  # connections to one server
+PARTING = 2 * SECOND  # a replaced connection is read for so long: its server may write until it notices
 REMEMBERED = 60 * SECOND  # an ended call's id is known for so long, that a repeat is told from a stranger
 NOTICE = 800 * MS  # after SIGTERM callers may come for 0.7 s
 STOP_AFTER = 400 * MS  # and the kill no sooner than the longest deadline, or this much of it, and 0.7 s:
@@ -195,6 +196,7 @@
     redial_pending: bool = False
     beside_after: int = 0  # no second connection is tried before that
     retiring: list[Link] = field(default_factory=list)  # silent ones, until what is out on them is over
+    parting: list[Link] = field(default_factory=list)  # ended on our side, and still read
     waiting: list[Attempt] = field(default_factory=list)  # for a connection
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: out, or standing
 
@@ -590,7 +592,22 @@
         """Close replaced connections with nothing out on them, and the oldest where there are several."""
         busy = {a.link for a in server.attempts.values() if not a.stands}
         while server.retiring and (len(server.retiring) >= LINKS_MOST - 1 or server.retiring[0] not in busy):
-            server.retiring.pop(0).finish()  # what was out on it is given up when its end is heard
+            link = server.retiring.pop(0)
+            if link in busy:
+                link.finish()  # what was out on it is given up when its end is heard
+            else:
+                link.finish(hears=True)
+                self.part(server, link)
+        while server.parting and len(server.retiring) + len(server.parting) >= LINKS_MOST:
+            server.parting.pop(0).close()
+
+    def part(self, server: Server, link: Link) -> None:
+        """Read on, for a while, where nothing more is said: releases of calls set up there may be on the way.
+
+        The server sends them there until it notices the end, and on another connection only then.
+        """
+        server.parting.append(link)
+        self.floor.at(self.floor.now + PARTING, link.close)
 
     def failed(self, failure: DialFailed) -> None:
         server: Server = failure.owner
@@ -635,6 +652,8 @@
             server.link, server.lost = None, True
         elif link in server.retiring:
             server.retiring.remove(link)
+        elif link in server.parting:
+            server.parting.remove(link)
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.drop(attempt)
             self.route.ended(attempt, Outcome.RESET, over=attempt.call.wire not in self.floor.open)
@@ -707,7 +726,8 @@
         self.floor.counts["links_dumb"] += 1
         if link in server.retiring:
             server.retiring.remove(link)
-        link.close()
+        link.close(hears=True)
+        self.part(server, link)
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.drop(attempt)
             self.route.ended(attempt, outcome, over=attempt.call.wire not in self.floor.open)
@@ -813,15 +833,17 @@
     def release(self, server: Server, link: Link, message: Release) -> None:
         link.send(ReleaseHeard(message.call))
         attempt = server.attempts.get(message.call)
-        if attempt is not None and not attempt.stands and self._stale(attempt, link):
-            attempt = None
         if attempt is None:
-            if message.call in self.book.ended or message.call in self.floor.open:
-                self.floor.counts["strays"] += 1  # a server repeats its own
+            known = message.call in self.book.ended or message.call in self.floor.open
+            if known or message.call in self.floor.standing:
+                self.floor.counts["strays"] += 1  # a server repeats its own, or ends an attempt given up
             elif self.floor.bequest.take(message.call) or self.book.inherited():
                 # A call of this softswitch's life before its restart: it stands at its caller still.
                 self.book.released(Release(message.call, message.reason), None)
             return
+        if (not attempt.stands or link in server.parting) and self._stale(attempt, link):
+            self.floor.counts["strays"] += 1
+            return
         self.send.drop(attempt)
         if attempt.stands:
             self.book.released(Release(message.call, message.reason), attempt.call.caller)
