--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -253,8 +253,9 @@
 
     def _serve_held(self, server: Server | None = None) -> None:
         """Place those who wait; after news of one server, of thousands maybe, only while it can take more."""
-        for call in sorted(self.held.values(), key=self._worth, reverse=True):
-            if server and not (self.unmarked(server) and self._ready(server) and server.free >= server.told):
+        waiting = iter(sorted(self.held.values(), key=self._worth, reverse=True))
+        while not server or (self.unmarked(server) and self._ready(server) and server.free >= server.told):
+            if (call := next(waiting, None)) is None:
                 return
             if call.event.call in self.held:
                 self._place(call)
@@ -311,8 +312,7 @@
         self._drop(event.call)
         if server is None or event.call not in server.out:
             return
-        sent = server.out.pop(event.call)
-        self._overtaken(server, sent - self.t_m / 2)
+        self._overtaken(server, server.out.pop(event.call) - self.t_m / 2)
         self.loss *= 1 - GAIN
         server.errors *= 1 - GAIN
         if server.base and server.cold_since > server.started and event.took < 2 * server.base:
