--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -646,7 +646,7 @@
         self.floor.at(self.floor.now + server.redial_after, partial(self._connect_due, server))
         server.redial_after = min(2 * server.redial_after, REDIAL_MOST)
 
-    def closed(self, link: Link, server: Server, malformed: bool = False) -> None:
+    def closed(self, link: Link, server: Server) -> None:
         """The set-ups open on a connection are given up with it; a call that stands belongs to none."""
         if server.link is link:
             server.link, server.lost = None, True
@@ -658,11 +658,7 @@
             self.drop(attempt)
             self.route.ended(attempt, Outcome.RESET, over=attempt.call.wire not in self.floor.open)
         if server.link is not None:
-            # It had a successor: the next wait must not grow for it, and nothing is missing, unless a release
-            # was cut short there. That comes again on the next connection opened, and on no other.
-            if malformed and any(a.stands and a.link is link for a in server.attempts.values()):
-                self.connect(server, beside=True)
-            return
+            return  # it had a successor: nothing is missing, and the next wait must not grow for it
         if self.floor.now - server.linked_at < SECOND:
             return self.redial(server)  # a server that slams the door must not be dialled in a tight circle
         server.redial_after = REDIAL_FIRST
@@ -1283,7 +1279,7 @@
                 link.closed = True
                 self.floor.counts["malformed"] += malformed
                 if isinstance(link.owner, Server):
-                    self.send.closed(link, link.owner, malformed)
+                    self.send.closed(link, link.owner)
                 else:
                     self.take_in.closed(link)
             case DialFailed():
