Judge a call's end by its own moment where its softswitch was stopped over it

One call followed through the record: set up at 1.98 s, its server answers at 2.001, its softswitch is stopped from 2.001 to 3.501, the call ends at 2.113, answer and release reach the caller at 3.502 and 3.505. The softswitch did what it could; the stand-ins told the truth; the judge is wrong: it asked whether the softswitch was down between the answer's passing on (3.502) and a second after the end (3.113), a span that ends before it begins. It begins at the earlier of the two now. Nothing is judged more mildly where the softswitch was up: a record with the same call and no stop is still a breach, and so is one told over 8 s late.

--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -48,6 +48,16 @@
     assert broken(*GOOD) == []
 
 
+@pytest.mark.parametrize(("told", "rules"), [(3.51, []), (11.0, ["release"])])
+def test_a_softswitch_stopped_over_a_calls_end_tells_it_later(told: float, rules: list[str]) -> None:
+    """It passes answer and end on after that, the answer a moment after the end of its stop is noted."""
+    stop = (Event(1.15, What.DOWN, 0), Event(3.5, What.UP, 0))
+    again = Event(4.0, What.ASKED, 0, 8), Event(4.1, What.FINAL, 0, 8, why="refused")
+    final = Event(3.501, What.FINAL, 0, 7, why="stands")
+    assert broken(ASKED, CAME, STOOD, *stop, OVER, final, Event(told, What.TOLD, 0, 7), *again) == rules
+    assert "release" in broken(ASKED, CAME, STOOD, OVER, final, Event(told, What.TOLD, 0, 7), *again)
+
+
 @pytest.mark.parametrize(
     ("events", "rules"),
     [
--- a/wickstep/rehearsal/judge.py
+++ b/wickstep/rehearsal/judge.py
@@ -156,7 +156,8 @@
                 continue
             took = (told.at if told else self.lasted) - over.at
             # Over while its softswitch was down, it can be told once that is back.
-            hurt = self.excused(over.softswitch, stood.at, over.at + TOLD_S, servers=True)
+            began = min(stood.at, over.at)  # a stopped softswitch passes both on once it goes on
+            hurt = self.excused(over.softswitch, began, over.at + TOLD_S, servers=True)
             most = UNSENT_S if hurt else TOLD_S
             if hurt and not any(over.at < at < over.at + most for at in self.spoken[over.softswitch]):
                 continue  # no caller came to it again: there was nobody to be told
