Part configuration, shared state and the stage of answers from the softswitch's file

Need: the release of a call that this process does not know is decided in a file of 1,570 lines whose classes could not be imported without the loop.

Change: `net/config.py` has the configuration, `net/state.py` the records that the stages share, `net/book.py` the stage that answers callers, `net/units.py` the units of time. `recovery/call_recovery` takes the stage it uses, so that it no longer imports the loop's file: one arrow of the ring is cut, the one from `operation/service` stands.

The tests of the softswitch, settings, calls, recovery and number analysis pass, with no check changed: four names in them are imported from where they are now.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,7 +14,7 @@
 from wickstep import Controller, interface
 from wickstep.__main__ import main
 from wickstep.net import Answer, SetUp
-from wickstep.net.softswitch import Config
+from wickstep.net.config import Config
 from wickstep.settings import read_settings
 
 from .test_softswitch import Rig, Server, list_line
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -40,9 +40,12 @@
     bulletin,
     codec,
     links,
+    state,
 )
 from wickstep.net import softswitch as module
-from wickstep.net.softswitch import Config, Softswitch
+from wickstep.net.config import DEFAULT_MAX_WAIT, Config
+from wickstep.net.softswitch import Softswitch
+from wickstep.net.units import MS
 
 from .test_wire import CONF
 
@@ -561,7 +564,7 @@
 def test_wait_rounded_up_past_the_maximum_is_accepted(connected: ConnectedRig) -> None:
     """A caller that rounds the maximum wait up to whole milliseconds exceeds it by 1 ms."""
     rig, _, server_peer, caller = connected
-    server_peer.receive(SetUp, rig.call(caller, wait_ms=module.DEFAULT_MAX_WAIT // module.MS + 1))
+    server_peer.receive(SetUp, rig.call(caller, wait_ms=DEFAULT_MAX_WAIT // MS + 1))
 
 
 @pytest.mark.parametrize("same_connection", [False, True])
@@ -894,7 +897,7 @@
     assert rig.switch is not None
     server_state = rig.switch.route.controller.servers["s-1"]
     assert (server_state.failures, server_state.mark_until) == (0, 0)
-    assert rig.switch.shared.servers["s-1"].redial_after == module.MIN_REDIAL_DELAY
+    assert rig.switch.shared.servers["s-1"].redial_after == state.MIN_REDIAL_DELAY
     new_peer.send(Answer(call, b"accept"))
     caller.receive(Answer, call)
 
@@ -1082,7 +1085,7 @@
     caller.receive(Release, call)
     set_up_call(rig, server_peer, caller)  # by then the loop has processed the first call
     gc.collect()
-    assert call not in [item.call_id for item in gc.get_objects() if isinstance(item, module.Call)]
+    assert call not in [item.call_id for item in gc.get_objects() if isinstance(item, state.Call)]
 
 
 def test_refusal_by_a_full_softswitch_carries_a_retry_delay(rig: Rig) -> None:
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -18,8 +18,10 @@
 
 from wickstep import __version__
 from wickstep.net import MalformedMessage, Message, Release, SetUp, Test, TestResult, codec, links, softswitch
+from wickstep.net.config import Config
 
 if TYPE_CHECKING:
+    from wickstep.net.state import SharedState
     from wickstep.numbering.table import Table
     from wickstep.recovery.store import LearnedStore
 
@@ -41,9 +43,9 @@
     exit_code = 2
 
 
-def read(path: Path) -> softswitch.Config:
+def read(path: Path) -> Config:
     try:
-        return softswitch.Config.read(path.read_bytes())
+        return Config.read(path.read_bytes())
     except (OSError, ValueError, LookupError, TypeError, AttributeError) as error:
         raise InvalidConfig(f"{path}: {str(error).splitlines()[0] if str(error) else error!r}") from error
 
@@ -182,7 +184,7 @@
 
 def make_analysis(
     path: Path | None,
-) -> Callable[[softswitch.SharedState, softswitch.AdmitStage], softswitch.NumberAnalysis] | None:
+) -> Callable[[SharedState, softswitch.AdmitStage], softswitch.NumberAnalysis] | None:
     """A factory of the stage of number analysis; None without a table, and then no module of it is loaded."""
     if path is None:
         return None
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -1,9 +1,9 @@
-"""The softswitch's main loop, the stages of a call, and the bridge to the controller.
+"""The softswitch's main loop, most stages of a call, and the bridge to the controller.
 
-This file owns all state of calls and servers. One thread runs the loop: it reads the clock once a turn and
+One thread runs the loop and owns all state of calls and servers (`state`): it reads the clock once a turn and
 passes each message from the inbox to its stage (take in, admit, route, send, relay, book). It must never
 block on a peer, never take the controller's decisions (whether, where and when a set-up is sent), and never
-end a call without a final answer or with two.
+end a call without a final answer or with two. Times are microseconds, the controller's are nanoseconds.
 """
 
 from __future__ import annotations
@@ -16,11 +16,10 @@
 import sys
 import threading
 import time
-from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
 from functools import partial
-from queue import Empty, SimpleQueue
+from queue import Empty
 from typing import TYPE_CHECKING, Any, Protocol
 
 import ujson
@@ -43,23 +42,18 @@
     bulletin,
     links,
 )
+from wickstep.net.book import BookStage
 from wickstep.net.bulletin import ListUpdate
+from wickstep.net.config import Config
 from wickstep.net.links import Closed, DialFailed, Link, Opened, Received
-from wickstep.operation.handover import InheritedCalls
-from wickstep.operation.metrics import ResultCounts
-from wickstep.operation.mode import Event, Mode, State
+from wickstep.net.state import MIN_REDIAL_DELAY, Attempt, Call, Server, SharedState
+from wickstep.net.units import MS, NS_PER_US, SECOND
+from wickstep.operation.mode import Event, State
 from wickstep.operation.process_group import HandoverReceived
 from wickstep.operation.service import Operation
 from wickstep.recovery import jitter
-from wickstep.recovery.recorder import CallRecorder
 from wickstep.settings import (
     REPORT_FIELDS,
-    convert,
-    get_section,
-    read_for_class,
-    read_integer,
-    read_settings,
-    require_value,
 )
 from wickstep.spread.reasons import SendReason, classify_send
 
@@ -68,11 +62,6 @@
 
 log = logging.getLogger(__name__)
 
-MS = 1000  # microseconds, the unit of every time in this file
-SECOND = 1000 * MS
-NS_PER_US = 1000  # the controller's times are in nanoseconds
-
-DEFAULT_MAX_WAIT = 60 * SECOND  # how long a caller waits at most if the settings do not say
 # A call is failed this long before its caller gives up: otherwise the answer and the caller's release would
 # cross.
 ANSWER_MARGIN = 10 * MS
@@ -88,13 +77,10 @@
 PROBE_AFTER_FACTOR, MIN_PROBE_AFTER = 1.5, 40 * MS
 WATCH_INTERVAL = 20 * MS  # between two checks of the set-ups in flight and their connections
 IDLE_WATCH_INTERVAL = 200 * MS  # the same while nothing is in flight
-# Exponential backoff between connects to one server.
-MIN_REDIAL_DELAY, MAX_REDIAL_DELAY = 250 * MS, 2 * SECOND
+MAX_REDIAL_DELAY = 2 * SECOND  # of the exponential backoff between connects to one server
 MAX_LINKS = 4  # connections to one server, the replaced ones included
 # A replaced connection is still read for this long: its server may write to it until it notices the end.
 LINGER_TIME = 2 * SECOND
-# The id of an ended call is kept for this long, to tell a repeated message from one about an unknown call.
-ENDED_CALL_RETENTION = 60 * SECOND
 MIN_STOP_TIME = 800 * MS  # after SIGTERM; callers may still arrive for 0.7 s
 # SIGKILL comes no sooner than 0.7 s after the longest deadline, or 0.7 s after MAX_STOP_TIME if that is
 # shorter. Calls that are open this long after that deadline are failed, so that they are answered before the
@@ -103,19 +89,10 @@
 MAX_STOP_TIME = 3 * SECOND  # upper bound of the deadline that a stopping process waits for
 # The same bound where a successor is present: the platform then waits for longer before the kill.
 MAX_HANDOVER_TIME = 5 * SECOND
-OPEN_CALLS_PER_MB = 30  # calls that may be open at once, for each MB of memory
-# The descriptions of open calls, up to 16 KiB each, may fill the memory divided by this.
-HELD_MEMORY_DIVISOR = 16
 MAX_NUMBER_LENGTH = 255  # characters of a called number, which is kept in memory as long as its call
-MAX_PENDING_RELEASES = 1000  # releases kept for a connection that confirms none, and while none is open
 # Messages, and timers, handled in one turn: the clock is read at its start and must not be outdated at its
 # end.
 MAX_TURN_ITEMS = 16
-# Fraction of the file descriptors for callers' connections. Callers hold a third of the descriptors at most;
-# the limit protects the rest.
-CALLER_DESCRIPTOR_SHARE = 0.45
-# A silent caller's connection takes 40 KB of memory, one that keeps sending 16 KiB messages 80 KB.
-CALLER_LINKS_PER_MB = 5
 SPARE_CALLER_LINKS = 16  # callers' connections accepted above the limit while others are evicted
 # A caller's connection without a call is closed after this time; callers close theirs after 4 s.
 IDLE_TIMEOUT = 6 * SECOND
@@ -125,11 +102,6 @@
 # Callers speak as soon as they are connected: a connection that never carried a call is evicted even before
 # those if it has been silent for this long.
 NEW_LINK_GRACE = 500 * MS
-ENDED_CALLS_PER_MB = 150  # ended calls that are remembered, 0.35 KB each
-# Releases of unknown calls are passed on for this long after the start; later, calls of the previous run are
-# over.
-INHERITED_RELEASE_PERIOD = 30 * SECOND
-MAX_INHERITED_RELEASES = 2000  # passed on in that period
 
 SERVER_OUTCOMES = {
     Reason.FULL: Outcome.FULL,
@@ -140,300 +112,6 @@
 }
 
 
-@dataclass(slots=True)
-class Config:
-    """Configuration of this softswitch, read from the JSON file and the environment."""
-
-    name: str
-    listen: str
-    seed: int
-    sockets: int
-    bulletin: str
-    # The last event number known at the start, and the events up to it.
-    known_events: tuple[int, list[ListUpdate]]
-    settings: api.Settings
-    classes: dict[str, int]
-    max_waits: tuple[int, ...]  # by class: the longest time a caller waits
-    max_widths: tuple[int, ...]  # by class: the largest width a set-up may ask for
-    max_open: int
-    max_held_bytes: int  # total size of the descriptions of open calls
-    max_callers: int  # callers' connections
-    max_ended: int  # ended calls that are remembered
-    dial_timeout: int
-    operator: str = ""  # address for operators' commands; empty if there is none
-    tenants: dict[str, int] = field(default_factory=dict)  # index in the settings, by name
-    inherited_fd: int | None = None  # listening socket for callers, if the platform holds it
-
-    @classmethod
-    def read(cls, text: str | bytes) -> Config:
-        raw = ujson.loads(text)
-        if not isinstance(raw, dict) or not isinstance(require_value(raw, "settings", "settings"), dict):
-            raise ValueError("setting settings: expected a JSON object")
-        settings_section, machine_limits = raw["settings"], get_section(raw, "limits")
-        settings = read_settings(settings_section)  # first, as it reports what is wrong with the classes
-        limits, classes = get_section(settings_section, "limits"), settings_section["classes"]
-        widths = get_section(settings_section, "family_info").get("widths")
-        class_names = [
-            str(require_value(item, "name", f"classes[{index}].name")) for index, item in enumerate(classes)
-        ]
-        parties = enumerate(settings_section.get("parties") or ())
-        tenants = {
-            str(require_value(item, "name", f"parties[{index}].name")): index for index, item in parties
-        }
-        max_open = read_integer(limits, "max_open", "limits.max_open", 0) or 20000
-        memory_mb = read_integer(machine_limits, "memory_mb", "limits.memory_mb", 0) or 192
-        sockets = read_integer(machine_limits, "sockets", "limits.sockets", 1024)
-        # Reject an address that cannot be dialled.
-        links.parse_address(str(require_value(raw, "bulletin", "bulletin")))
-        links.parse_address(str(require_value(raw, "listen", "listen")))
-        return cls(
-            name=str(require_value(raw, "name", "name")),
-            listen=str(raw["listen"]),
-            seed=convert(require_value(raw, "seed", "seed"), "seed", lambda text: int(str(text), 16)),
-            sockets=sockets,
-            bulletin=str(raw["bulletin"]),
-            known_events=bulletin.read_events(raw.get("known") or {"no": 0, "items": []}),
-            settings=settings,
-            classes={name: index for index, name in enumerate(class_names)},
-            max_waits=tuple(
-                (
-                    read_integer(item, "give_up_ns", f"classes[{index}].give_up_ns", 0)
-                    or DEFAULT_MAX_WAIT * NS_PER_US
-                )
-                // NS_PER_US
-                for index, item in enumerate(classes)
-            ),
-            max_widths=tuple(
-                1 if (width := read_for_class(widths, index, "family_info.widths", int)) is None else width
-                for index in range(len(classes))
-            ),
-            max_open=min(max_open, memory_mb * OPEN_CALLS_PER_MB),
-            max_held_bytes=(memory_mb << 20) // HELD_MEMORY_DIVISOR,
-            max_callers=min(int(sockets * CALLER_DESCRIPTOR_SHARE), memory_mb * CALLER_LINKS_PER_MB),
-            max_ended=memory_mb * ENDED_CALLS_PER_MB,
-            dial_timeout=(
-                read_integer(limits, "dial_timeout_ns", "limits.dial_timeout_ns", 0) or SECOND * NS_PER_US
-            )
-            // NS_PER_US,
-            inherited_fd=int(os.environ["ROUTER_ACCEPT_FD"]) if os.environ.get("ROUTER_ACCEPT_FD") else None,
-            tenants=tenants,
-            operator=os.environ.get("ROUTER_OPERATOR") or str(raw.get("operator") or ""),
-        )
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """A setup server, identified by its host name: its address may later belong to another."""
-
-    host: str
-    address: str
-    number: int
-    state: ServerState
-    started_at: int  # start of its process; 0: long ago or unknown
-    link: Link | None = None
-    linked_at: int = 0  # when that connection was opened
-    # How soon the first message about a set-up is due, where the protocol has such a limit.
-    reply_timeout: int = 0
-    pending_timeout: int = 0  # how much later it is due after a message that the server is at work
-    smoothed_delay: int = 0  # EWMA of the time a set-up takes there
-    dialing: bool = False
-    link_lost: bool = False  # the last connection broke, and none has been opened since
-    refusals: int = 0  # connects refused since the last connection broke
-    redial_after: int = MIN_REDIAL_DELAY
-    redial_pending: bool = False
-    additional_dial_after: int = 0  # no second connection is tried before this time
-    # Silent connections that still have set-ups in flight.
-    replaced_links: list[Link] = field(default_factory=list)
-    lingering_links: list[Link] = field(default_factory=list)  # closed for writing and still read
-    waiting: list[Attempt] = field(default_factory=list)  # attempts waiting for a connection
-    attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: in flight or standing
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    call: Call
-    index: int
-    server: Server
-    sent_at: int
-    expires_at: int  # the attempt ends then, whatever the server says about it
-    timeout_at: int  # earlier end, where the server owes a message sooner
-    link: Link | None = None  # None while it waits for a connection
-    stands: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A call, from its set-up to its end."""
-
-    controller_id: int  # its id towards the controller
-    call_id: int  # its id in messages
-    set_up: SetUp
-    klass: int
-    caller: Link
-    deadline: int
-    tenant: int = -1  # index in the settings; -1: none
-    attempt_count: int = 0
-    attempt: Attempt | None = None  # the one that is in flight or stands
-    table: object = None  # of number analysis, as it was when the call was taken in
-
-
-class SharedState:
-    """State that the stages share: the clock, the timers, the tables and the counters."""
-
-    def __init__(self, config: Config, now: int) -> None:
-        self.config = config
-        self.now = self.started_at = now
-        # Read once: if it changed, a server's start time would seem to move, which is taken for a restart.
-        self.unix_offset = time.time_ns() // NS_PER_US - now
-        self.inbox: links.Inbox = SimpleQueue()
-        self.timers: list[tuple[int, int, Callable[[], None]]] = []
-        self.timer_order = itertools.count()
-        self.servers: dict[str, Server] = {}
-        self.open_calls: dict[int, Call] = {}  # by the id in messages; no final answer yet
-        self.calls_by_id: dict[int, Call] = {}  # the same calls by the controller's id
-        self.standing: dict[int, Attempt] = {}  # calls that stand, by the id in messages
-        self.held_bytes = 0  # total size of the descriptions of open calls
-        # The silence of a server's connection is compared with the shortest time in which a call is wanted.
-        self.min_aim = min(item.aim for item in config.settings.classes) // NS_PER_US
-        self.caller_limit = config.max_callers
-        self.caller_links: dict[Link, None] = {}  # accepted connections, oldest first
-        # Connections on which a message about a call has come; a load balancer's health checks do not count.
-        self.calling_links: dict[Link, None] = {}
-        self.counters: Counter[str] = Counter()
-        self.list_known = False
-        self.mode = Mode()
-        self.stop_began_at = 0  # when the process began to stop or to hand over
-        self.result_counts = ResultCounts(tuple(config.classes))
-        self.inherited_calls = InheritedCalls()
-        self.recorder = CallRecorder()  # records each call in the journal, if one is kept
-
-    def born_ms(self, server: Server) -> int:
-        """Start of a server in Unix milliseconds, as in the pool list; 0: long ago or unknown."""
-        return (server.started_at + self.unix_offset) // MS if server.started_at else 0
-
-    def schedule(self, due: int, callback: Callable[[], None]) -> None:
-        heapq.heappush(self.timers, (due, next(self.timer_order), callback))
-
-
-class BookStage:
-    """Last stage: the single final answer of each call, releases towards callers, and the counters."""
-
-    def __init__(self, shared: SharedState) -> None:
-        self.shared = shared
-        # By id: when it ended, and whether it was answered.
-        self.ended_calls: OrderedDict[int, tuple[int, bool]] = OrderedDict()
-        # Called when a call is no longer open.
-        self.on_call_closed: Callable[[int], None] = lambda controller_id: None
-        # Releases for which no connection was open, each with the peer id of its caller.
-        self.undelivered: deque[tuple[str, Release]] = deque(maxlen=MAX_PENDING_RELEASES)
-
-    def send_final_answer(self, call: Call, message: Answer | Release, kind: str) -> bool:
-        """Send the final answer of a call; False if it has had one already."""
-        if not self._close_call(call):
-            return False
-        self.shared.counters[f"answered_{kind}"] += 1
-        self.shared.result_counts.count_result(call.klass, kind)
-        log.info("%016x answered: %s", call.call_id, kind)
-        if isinstance(message, Answer):
-            call.caller.had_call = True
-        else:
-            self.record_ended_call(call.call_id)
-        if not call.caller.send(message):
-            self.shared.counters["answers_undeliverable"] += 1
-        return True
-
-    def close_unanswered(self, call: Call) -> None:
-        """Close a call whose caller has left: no answer is owed."""
-        if self._close_call(call):
-            self.shared.counters["callers_left"] += 1
-            # The caller may set it up again if its connection was closed.
-            self.record_ended_call(call.call_id, answered=False)
-
-    def _close_call(self, call: Call) -> bool:
-        """Remove a call from the tables of open calls; False if it is in none of them."""
-        if self.shared.open_calls.pop(call.call_id, None) is None:
-            return False
-        self.shared.calls_by_id.pop(call.controller_id, None)
-        if call.attempt is None or not call.attempt.stands:
-            self.shared.recorder.call_ended(call.call_id)
-        self.on_call_closed(call.controller_id)
-        call.caller.calls.pop(call.call_id, None)
-        self.shared.held_bytes -= len(call.set_up.description)
-        # Not needed any more, and the call may stand for long.
-        call.set_up = replace(call.set_up, description=b"")
-        return True
-
-    def send_release(self, release: Release, caller: Link | None, peer_id: str = "") -> None:
-        """Release a call that stood, on its caller's connection or another from the same peer."""
-        self.record_ended_call(release.call)
-        peer_id = caller.peer_id if caller is not None else peer_id
-        for link in self._candidate_links(caller, peer_id):
-            if link.is_closing:
-                continue
-            if not link.closed and link.send(release):
-                # Written does not mean received: the caller may be closing this connection right now.
-                link.unconfirmed[release.call] = release
-                link.heard_at = self.shared.now  # counts as used
-                if len(link.unconfirmed) > MAX_PENDING_RELEASES:
-                    del link.unconfirmed[next(iter(link.unconfirmed))]
-                self.shared.counters["releases_sent"] += 1
-                return
-        self.undelivered.append((peer_id, release))
-
-    def _candidate_links(self, caller: Link | None, peer_id: str) -> Iterator[Link]:
-        """Connections on which a release may be sent: the caller's own first, and rarely any after it."""
-        if caller is not None:
-            yield caller
-        # A connection that never carried a call may not read releases, so those that had a call come first.
-        others = [link for link in reversed(self.shared.calling_links) if link.peer_id == peer_id]
-        others.sort(key=lambda link: not link.had_call)
-        yield from others
-
-    def mark_calling(self, link: Link) -> None:
-        """Note that calls come on a connection, and send the releases for which none was open."""
-        if link in self.shared.calling_links:
-            return
-        self.shared.calling_links[link] = None
-        for _ in range(len(self.undelivered)):
-            peer_id, release = self.undelivered.popleft()
-            self.send_release(release, link if link.peer_id == peer_id else None, peer_id)
-
-    def resend_unconfirmed(self, link: Link) -> None:
-        """Send releases again that a connection has not confirmed before its end."""
-        unconfirmed, link.unconfirmed = link.unconfirmed, {}
-        for release in unconfirmed.values():
-            self.shared.counters["releases_sent_again"] += 1
-            self.send_release(release, None, link.peer_id)
-
-    def record_ended_call(self, call_id: int, answered: bool = True) -> None:
-        now = self.shared.now
-        self.ended_calls[call_id] = (now, answered)
-        self.ended_calls.move_to_end(call_id)
-        max_ended = self.shared.config.max_ended
-        while (
-            len(self.ended_calls) > max_ended
-            or next(iter(self.ended_calls.values()))[0] < now - ENDED_CALL_RETENTION
-        ):
-            self.ended_calls.popitem(last=False)
-
-    def was_answered(self, call_id: int) -> bool:
-        return self.ended_calls.get(call_id, (0, False))[1]
-
-    def may_be_inherited(self) -> bool:
-        """Whether the release of an unknown call may concern a call of this softswitch's previous run.
-
-        Limited in time and number: callers that release calls they never set up must not burden the servers.
-        """
-        shared = self.shared
-        if (
-            shared.now - shared.started_at > INHERITED_RELEASE_PERIOD
-            or shared.counters["releases_inherited"] >= MAX_INHERITED_RELEASES
-        ):
-            return False
-        shared.counters["releases_inherited"] += 1
-        return True
-
-
 class RouteStage:
     """Bridge to the controller: turns microseconds and messages into its events, and carries out its actions.
 
--- a/wickstep/numbering/stage.py
+++ b/wickstep/numbering/stage.py
@@ -21,7 +21,9 @@
 from typing import Protocol
 
 from wickstep.net import Reason, links
-from wickstep.net.softswitch import MS, SECOND, AdmitStage, Call, SharedState
+from wickstep.net.softswitch import AdmitStage
+from wickstep.net.state import Call, SharedState
+from wickstep.net.units import MS, SECOND
 from wickstep.numbering import enum_dns
 from wickstep.numbering.analysis import Analysis, Verdict, analyse, resolve
 from wickstep.numbering.portability import LookUpResult, LookUps, QueryRequest
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -22,7 +22,8 @@
 from wickstep.recovery import learned
 
 if TYPE_CHECKING:
-    from wickstep.net.softswitch import SharedState, TakeInStage
+    from wickstep.net.softswitch import TakeInStage
+    from wickstep.net.state import SharedState
     from wickstep.recovery.journal import Journal
     from wickstep.recovery.plan import RecoveryPlan
     from wickstep.recovery.store import LearnedStore
@@ -101,7 +102,7 @@
         )
         confirm_us = int(journal_plan.confirm_s * 1_000_000)
         CallRecovery(
-            shared, self.take_in, self.journal, journal_plan.settle_rate, confirm_us, shared.config.seed
+            shared, self.take_in.book, self.journal, journal_plan.settle_rate, confirm_us, shared.config.seed
         ).start()
         shared.recorder = self.journal
 
--- a/wickstep/recovery/call_recovery.py
+++ b/wickstep/recovery/call_recovery.py
@@ -18,7 +18,8 @@
 from wickstep.recovery.reconciliation import Reconciler, ServerView, Step, Verdict
 
 if TYPE_CHECKING:
-    from wickstep.net.softswitch import SharedState, TakeInStage
+    from wickstep.net.book import BookStage
+    from wickstep.net.state import SharedState
 
 log = logging.getLogger(__name__)
 
@@ -32,13 +33,13 @@
     def __init__(
         self,
         shared: SharedState,
-        take_in: TakeInStage,
+        book: BookStage,
         journal: Journal,
         settle_rate: float,
         confirm_us: int,
         seed: int,
     ) -> None:
-        self.shared, self.take_in, self.journal = shared, take_in, journal
+        self.shared, self.book, self.journal = shared, book, journal
         self._settle_rate, self._confirm_us, self._random = settle_rate, confirm_us, random.Random(seed)
         self.reconciler = Reconciler({}, shared.now, settle_rate, confirm_us, 0.0)
         self.pending_releases: dict[str, list[int]] = defaultdict(list)  # by server
@@ -53,7 +54,7 @@
         shared.inherited_calls.on_taken = self._on_call_taken
         for call, state in result.live.items():
             if state.host and state.phase is not Phase.STANDS:  # may have been set up: must not be sent again
-                self.take_in.book.record_ended_call(call)
+                self.book.record_ended_call(call)
         now, jitter = shared.now, self._random.random()
         self.reconciler = Reconciler(result.live, now, self._settle_rate, self._confirm_us, jitter)
         self._release_until = now + self._confirm_us + PENDING_RELEASE_TIMEOUT_US
@@ -97,7 +98,7 @@
                 return  # stays in the table of inherited calls
             case Verdict.CUT | Verdict.RELEASED:
                 if self.shared.inherited_calls.take(call) is not None or step.state.phase is Phase.ENDING:
-                    self.take_in.book.send_release(Release(call, Reason.INTERRUPTED), None)
+                    self.book.send_release(Release(call, Reason.INTERRUPTED), None)
                 if step.verdict is Verdict.RELEASED:
                     self._queue_release(host, call)
                 return  # its end is journaled once its caller has confirmed the release
