Pass a server's release on however long after a start it comes

Cause: `RelayStage.relay_release` passed the release of a call that this process did not set up on only while `may_be_inherited` said so, for 30 s and 2,000 releases from the start, and dropped it after that without a word.

Ruled out: the caller's connection (open, in use) and the server (its release was written, and confirmed by the softswitch).

Change: no limit on time or number. What the limits protected from is handled where it arises. Ids of calls that this process took in or released are kept in a fixed space (`CallIdCache`, 8 bytes each, 4 KB for each MB of memory), so that a repeated release is told from an unknown one long after the 60 s of before; those of calls with an attempt that ended without its server's word have a space of their own, since such a call may stand at a server after its caller was told that it failed, and its end must be no second answer. What is unknown goes on at 500 a second after a burst of 2,000, each server in its turn, newest first, and waits while no caller is connected (`ReleaseQueue`); before, 1,000 waited and the rest was lost.

--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,181 @@
+"""Calls that outlive the start of their softswitch: their releases are passed on whenever they come.
+
+The softswitch starts from nothing, so it knows none of these calls; their callers and servers do. Unit tests
+of what limits such releases stand at the end.
+"""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wickstep.net import Answer, Reason, Release, ReleaseComplete, SetUp
+from wickstep.net.call_ids import WAYS, CallIdCache
+from wickstep.net.release_queue import ReleaseQueue
+from wickstep.net.units import MS, SECOND
+from wickstep.net.unknown_calls import MAX_WAITING
+
+from .test_softswitch import ConnectedRig, Rig, Server, connected, list_line, rig, set_up_call, wait_for
+
+__all__ = ["connected", "rig"]  # fixtures
+
+OLD_CALL = 0xBEEF  # set up before the start
+HOUR = 3600 * SECOND
+
+
+def let_start_be_an_hour_ago(rig: Rig) -> None:
+    assert rig.switch is not None
+    rig.switch.shared.started_at -= HOUR
+
+
+def forget_recent_ends(rig: Rig) -> None:
+    """As after ENDED_CALL_RETENTION."""
+    assert rig.switch is not None
+    rig.switch.book.ended_calls.clear()
+
+
+def forget_past_ids(rig: Rig) -> None:
+    """As after so many further calls that their ids have displaced all before them."""
+    assert rig.switch is not None
+    forget_recent_ends(rig)
+    rig.switch.book.past_ids = CallIdCache(1)
+
+
+def test_release_of_a_call_that_outlives_a_restart_by_an_hour_reaches_its_caller(
+    connected: ConnectedRig,
+) -> None:
+    """Guards against callers that hold a dead call for ever: 30 s after a start no release reached them."""
+    rig, _, server_peer, caller = connected
+    set_up_call(rig, server_peer, caller)
+    let_start_be_an_hour_ago(rig)
+    server_peer.send(Release(OLD_CALL, Reason.CLEARED))
+    assert server_peer.receive(ReleaseComplete, OLD_CALL)
+    assert caller.receive(Release, OLD_CALL).reason is Reason.CLEARED
+
+
+def test_every_release_of_thousands_of_calls_from_before_a_restart_reaches_its_caller(
+    connected: ConnectedRig,
+) -> None:
+    """Guards against dead calls after a restart under many calls: from the 2,001st on they were dropped."""
+    rig, _, server_peer, caller = connected
+    set_up_call(rig, server_peer, caller)
+    old_calls = {*range(OLD_CALL, OLD_CALL + 2500)}
+    for call in old_calls:
+        server_peer.send(Release(call, Reason.CLEARED))
+    for _ in range(len(old_calls)):
+        old_calls.remove(caller.receive(Release).call)
+    assert not old_calls
+
+
+def test_releases_of_calls_from_before_a_restart_wait_for_the_first_caller(connected: ConnectedRig) -> None:
+    rig, _, server_peer, caller = connected
+    old_calls = [*range(OLD_CALL, OLD_CALL + 1500)]  # more than the releases that wait for a lost connection
+    for call in old_calls:
+        server_peer.send(Release(call, Reason.CLEARED))
+    server_peer.receive(ReleaseComplete, old_calls[-1])
+    rig.call(caller)
+    assert sorted(caller.receive(Release).call for _ in old_calls) == old_calls
+
+
+def test_release_repeated_long_after_the_end_of_its_call_is_not_passed_on(connected: ConnectedRig) -> None:
+    rig, _, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    server_peer.send(Release(call, Reason.CLEARED))
+    caller.receive(Release, call)
+    forget_recent_ends(rig)
+    server_peer.send(Release(call, Reason.CLEARED), Release(OLD_CALL, Reason.CLEARED))
+    assert caller.receive(Release).call == OLD_CALL
+    assert rig.switch is not None
+    assert rig.switch.shared.counters["strays"] == 1
+
+
+@pytest.mark.parametrize("loss", ["no answer", "reset"])
+def test_late_end_of_a_lost_attempt_is_no_second_answer_to_its_caller(rig: Rig, loss: str) -> None:
+    """The call was answered as failed, yet stands at a server that never read its release."""
+    server = Server()
+    rig.open(list_line(server, "s-1"), probes=False)
+    server_peer, caller = server.accept(), rig.caller()
+    call = rig.call(caller, wait_ms=300)
+    server_peer.receive(SetUp, call)
+    if loss == "reset":
+        server_peer.reset()
+        server_peer = server.accept()
+    assert caller.receive(Release, call).reason is not Reason.CLEARED
+    forget_past_ids(rig)
+    server_peer.send(Answer(call, b"accept"), Release(call, Reason.CLEARED))
+    server_peer.send(Release(OLD_CALL, Reason.CLEARED))
+    assert caller.receive(Release).call == OLD_CALL
+
+
+def test_flood_of_repeated_releases_delays_no_other_servers_release(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    flooding, other = Server(), Server()
+    rig.open(list_line(flooding, "s-1"), list_line(other, "s-2", 1))
+    flooding_peer, other_peer, caller = flooding.accept(), other.accept(), rig.caller()
+    set_up_call(rig, flooding_peer, caller)
+    assert rig.switch is not None
+    queue = rig.switch.relay.unknown_calls.to_callers
+    monkeypatch.setattr(queue, "_tokens", 0.0)
+    monkeypatch.setattr(queue, "_rate", 1e-6)
+    flood = [*range(1 << 32, (1 << 32) + 6000)]
+    for call in flood:
+        flooding_peer.send(Release(call, Reason.CLEARED))
+    flooding_peer.receive(ReleaseComplete, flood[-1])
+    other_peer.send(Release(OLD_CALL, Reason.CLEARED))
+    other_peer.receive(ReleaseComplete, OLD_CALL)
+    counters = rig.switch.shared.counters
+    wait_for(lambda: counters["releases_unknown_dropped"] == len(flood) + 1 - MAX_WAITING)
+    monkeypatch.setattr(queue, "_tokens", 2.0)
+    rig.call(rig.caller())
+    assert OLD_CALL in [caller.receive(Release).call for _ in range(2)]
+
+
+# Units.
+
+
+def release(call: int) -> Release:
+    return Release(call, Reason.CLEARED)
+
+
+def calls(releases: list[Release]) -> list[int]:
+    return [item.call for item in releases]
+
+
+def test_queue_passes_releases_on_at_its_rate_after_a_burst() -> None:
+    queue = ReleaseQueue(rate=100, burst=3, max_waiting=50, now=0)
+    for call in range(1, 11):
+        assert queue.add("a", release(call))
+    assert calls(queue.take(0)) == [10, 9, 8]  # the newest first
+    assert queue.take(9 * MS) == []
+    assert queue.next_due(9 * MS) == 10 * MS
+    assert calls(queue.take(10 * MS)) == [7]
+    assert calls(queue.take(SECOND)) == [6, 5, 4]  # no more than a burst after a pause
+    assert len(queue) == 3
+
+
+def test_queue_serves_its_sources_in_turn_and_drops_from_the_longest() -> None:
+    queue = ReleaseQueue(rate=1, burst=4, max_waiting=6, now=0)
+    for call in range(1, 6):
+        queue.add("a", release(call))
+    assert queue.add("b", release(11))
+    assert not queue.add("b", release(12))  # full: the oldest of "a" goes
+    assert sorted(calls([*queue])) == [2, 3, 4, 5, 11, 12]
+    assert calls(queue.take(0)) == [5, 12, 4, 11]
+
+
+@given(st.lists(st.integers(1, 2**64 - 1) | st.integers(1, 200), max_size=300), st.integers(0, 100))
+def test_cache_finds_the_last_ids_of_each_set_and_none_that_was_not_added(
+    ids: list[int], capacity: int
+) -> None:
+    cache, set_count = CallIdCache(capacity), max(capacity // WAYS, 1)
+    last_by_set: dict[int, list[int]] = {}
+    for call_id in ids:
+        cache.add(call_id)
+        last = last_by_set.setdefault(call_id % set_count, [])
+        if call_id not in last[-WAYS:]:
+            last.append(call_id)
+    kept = {call_id for last in last_by_set.values() for call_id in last[-WAYS:]}
+    assert all(call_id in cache for call_id in kept)
+    assert not any(call_id in cache for call_id in {*ids, *range(200)} - kept)
--- a/wickstep/net/book.py
+++ b/wickstep/net/book.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 from wickstep.net import Answer, Release
+from wickstep.net.call_ids import CallIdCache
 from wickstep.net.links import Link
 from wickstep.net.state import Call, SharedState
 from wickstep.net.units import SECOND
@@ -21,8 +22,7 @@
 # The id of an ended call is kept for this long, to tell a repeated message from one about an unknown call.
 ENDED_CALL_RETENTION = 60 * SECOND
 MAX_PENDING_RELEASES = 1000  # releases kept for a connection that confirms none, and while none is open
-# Releases of unknown calls are passed on for this long after the start; later, calls of the previous run are
-# over.
+# Callers' releases of unknown calls are passed on for this long after the start.
 INHERITED_RELEASE_PERIOD = 30 * SECOND
 MAX_INHERITED_RELEASES = 2000  # passed on in that period
 
@@ -34,10 +34,14 @@
         self.shared = shared
         # By id: when it ended, and whether it was answered.
         self.ended_calls: OrderedDict[int, tuple[int, bool]] = OrderedDict()
+        self.past_ids = CallIdCache(shared.config.max_past_ids)  # of calls taken in or released here
+        # Of calls with an attempt that ended without its server's word: some stand there, and end later.
+        self.abandoned_ids = CallIdCache(shared.config.max_past_ids // 4)
         # Called when a call is no longer open.
         self.on_call_closed: Callable[[int], None] = lambda controller_id: None
         # Releases for which no connection was open, each with the peer id of its caller.
         self.undelivered: deque[tuple[str, Release]] = deque(maxlen=MAX_PENDING_RELEASES)
+        self.on_caller_connected: Callable[[], None] = lambda: None  # the first calls come on a connection
 
     def send_final_answer(self, call: Call, message: Answer | Release, kind: str) -> bool:
         """Send the final answer of a call; False if it has had one already."""
@@ -66,6 +70,7 @@
         if self.shared.open_calls.pop(call.call_id, None) is None:
             return False
         self.shared.calls_by_id.pop(call.controller_id, None)
+        self.past_ids.add(call.call_id)
         if call.attempt is None or not call.attempt.stands:
             self.shared.recorder.call_ended(call.call_id)
         self.on_call_closed(call.controller_id)
@@ -78,6 +83,7 @@
     def send_release(self, release: Release, caller: Link | None, peer_id: str = "") -> None:
         """Release a call that stood, on its caller's connection or another from the same peer."""
         self.record_ended_call(release.call)
+        self.past_ids.add(release.call)
         peer_id = caller.peer_id if caller is not None else peer_id
         for link in self._candidate_links(caller, peer_id):
             if link.is_closing:
@@ -109,6 +115,11 @@
         for _ in range(len(self.undelivered)):
             peer_id, release = self.undelivered.popleft()
             self.send_release(release, link if link.peer_id == peer_id else None, peer_id)
+        self.on_caller_connected()
+
+    def has_open_caller(self) -> bool:
+        """Whether there is a connection on which releases may be sent."""
+        return any(not link.is_closing for link in self.shared.calling_links)
 
     def resend_unconfirmed(self, link: Link) -> None:
         """Send releases again that a connection has not confirmed before its end."""
@@ -132,7 +143,7 @@
         return self.ended_calls.get(call_id, (0, False))[1]
 
     def may_be_inherited(self) -> bool:
-        """Whether the release of an unknown call may concern a call of this softswitch's previous run.
+        """Whether a caller's release of an unknown call may concern a call of this softswitch's previous run.
 
         Limited in time and number: callers that release calls they never set up must not burden the servers.
         """
@@ -144,3 +155,14 @@
             return False
         shared.counters["releases_inherited"] += 1
         return True
+
+    def is_known(self, call_id: int) -> bool:
+        """Whether a call is open or stands here, or is remembered to have ended here."""
+        shared = self.shared
+        return (
+            call_id in shared.open_calls
+            or call_id in shared.standing
+            or call_id in self.ended_calls
+            or call_id in self.past_ids
+            or call_id in self.abandoned_ids
+        )
--- a/wickstep/net/config.py
+++ b/wickstep/net/config.py
@@ -35,6 +35,7 @@
 # A silent caller's connection takes 40 KB of memory, one that keeps sending 16 KiB messages 80 KB.
 CALLER_LINKS_PER_MB = 5
 ENDED_CALLS_PER_MB = 150  # ended calls that are remembered, 0.35 KB each
+PAST_IDS_PER_MB = 512  # ids of calls that were taken in, 8 bytes each
 
 
 @dataclass(slots=True)
@@ -56,6 +57,7 @@
     max_held_bytes: int  # total size of the descriptions of open calls
     max_callers: int  # callers' connections
     max_ended: int  # ended calls that are remembered
+    max_past_ids: int  # ids that are remembered for longer than those
     dial_timeout: int
     operator: str = ""  # address for operators' commands; empty if there is none
     tenants: dict[str, int] = field(default_factory=dict)  # index in the settings, by name
@@ -108,6 +110,7 @@
             max_held_bytes=(memory_mb << 20) // HELD_MEMORY_DIVISOR,
             max_callers=min(int(sockets * CALLER_DESCRIPTOR_SHARE), memory_mb * CALLER_LINKS_PER_MB),
             max_ended=memory_mb * ENDED_CALLS_PER_MB,
+            max_past_ids=memory_mb * PAST_IDS_PER_MB,
             dial_timeout=(
                 read_integer(limits, "dial_timeout_ns", "limits.dial_timeout_ns", 0) or SECOND * NS_PER_US
             )
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -48,6 +48,7 @@
 from wickstep.net.links import Closed, DialFailed, Link, Opened, Received
 from wickstep.net.state import MIN_REDIAL_DELAY, Attempt, Call, Server, SharedState
 from wickstep.net.units import MS, NS_PER_US, SECOND
+from wickstep.net.unknown_calls import UnknownCalls
 from wickstep.operation.mode import Event, State
 from wickstep.operation.process_group import HandoverReceived
 from wickstep.operation.service import Operation
@@ -279,6 +280,8 @@
                 self.connect(server, additional=True)
         elif outcome is Outcome.TIMEOUT:
             outcome = Outcome.CONNECT_FAILED  # never sent, so it must not count against the call
+        if link is not None:
+            self.book.abandoned_ids.add(attempt.call.call_id)
         self.remove_attempt(attempt)
         self.route.report_end(attempt, outcome, call_over=attempt.call.call_id not in self.shared.open_calls)
 
@@ -423,11 +426,7 @@
             server.replaced_links.remove(link)
         elif link in server.lingering_links:
             server.lingering_links.remove(link)
-        for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
-            self.remove_attempt(attempt)
-            self.route.report_end(
-                attempt, Outcome.RESET, call_over=attempt.call.call_id not in self.shared.open_calls
-            )
+        self._end_attempts_on(link, server, Outcome.RESET)
         if server.link is not None:
             return  # it was replaced: nothing is missing, and the backoff must not grow
         if self.shared.now - server.linked_at < SECOND:
@@ -506,7 +505,12 @@
             server.replaced_links.remove(link)
         link.close(keep_reading=True)
         self.linger(server, link)
+        self._end_attempts_on(link, server, outcome)
+
+    def _end_attempts_on(self, link: Link, server: Server, outcome: Outcome) -> None:
+        """End the attempts in flight on a connection. An answer that was on its way there is lost."""
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
+            self.book.abandoned_ids.add(attempt.call.call_id)
             self.remove_attempt(attempt)
             self.route.report_end(
                 attempt, outcome, call_over=attempt.call.call_id not in self.shared.open_calls
@@ -601,6 +605,7 @@
 
     def __init__(self, shared: SharedState, route: RouteStage, send: SendStage, book: BookStage) -> None:
         self.shared, self.route, self.send, self.book = shared, route, send, book
+        self.unknown_calls = UnknownCalls(shared, book)
 
     def relay_answer(self, server: Server, link: Link, message: Answer) -> None:
         attempt = server.attempts.get(message.call)
@@ -625,12 +630,12 @@
         link.send(ReleaseComplete(message.call))
         attempt = server.attempts.get(message.call)
         if attempt is None:
-            is_known = message.call in self.book.ended_calls or message.call in self.shared.open_calls
-            if is_known or message.call in self.shared.standing:
+            if self.book.is_known(message.call):
                 self.shared.counters["strays"] += 1  # repeated by the server, or the end of a stopped attempt
-            elif self.shared.inherited_calls.take(message.call) or self.book.may_be_inherited():
-                # A call of this softswitch's previous run, which still stands at its caller.
+            elif self.shared.inherited_calls.take(message.call):
                 self.book.send_release(Release(message.call, message.reason), None)
+            else:
+                self.unknown_calls.release_from_server(server, message)
             return
         if (not attempt.stands or link in server.lingering_links) and self._is_stale(attempt, link):
             self.shared.counters["strays"] += 1
