Do not close a server's connection over a message whose rest was not read

What callers saw: when a server sent more at once than the loop took in 0.2 s, its connection could be closed as malformed, with the set-ups in flight on it. Servers that repeat their releases on the first connection after a restart do just that.

Cause: the common reader does not read a connection with eight messages waiting for the loop. The rest of a message that a read had cut then lay unread, and `close_if_overdue` counted its 200 ms all the same.

Ruled out: bytes that were wrong (a test that sends 6,000 well-formed releases showed it, `malformed` 1, "message not complete within its time-out"), and a read that takes too long (callers' connections have a reader each, whose time-out runs only within a read).

Change: while messages wait for the loop a message's time begins anew at each pass of the reader.

--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -349,8 +349,14 @@
         return False
 
     def close_if_overdue(self) -> bool:
-        """End the connection if a message has begun and is not complete in time; whether it did so."""
-        if not 0 < self._complete_by <= time.monotonic_ns() // 1_000_000:
+        """End the connection if a message has begun and is not complete in time; whether it did so.
+
+        While messages wait for the loop the rest of this one may lie unread: its time has not begun.
+        """
+        now = time.monotonic_ns() // 1_000_000
+        if self._complete_by and self.is_backlogged():
+            self._complete_by = now + self.message_timeout_ms
+        if not 0 < self._complete_by <= now:
             return False
         log.warning("closing a server's connection: message not complete within its time-out")
         self._end_connection(True)
