Pass a caller's hang-up on however long after a start it comes

What callers saw: nothing, their release was confirmed. The call went on at its server to its own end if the hang-up came more than 30 s after a start, or after 2,000 others, or before the connection to that server was up.

Cause: the same as for the releases of servers: `relay_caller_release` let a release of an unknown call through for 30 s and 2,000 releases only, to the servers connected at that moment.

Ruled out: that the server had it and ignored it (a stand-in records what comes: nothing did).

Change: it is passed on whenever it comes, to all servers, and to one that is connected for the first time later, unless that was born after the softswitch.

Measured: on the code of before the hang-up an hour after the start, and the one before the server's connection, reach no server in 10 s; the test of a flood can't run there, since it looks at the queue. With the change all pass.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,7 +16,7 @@
 from wickstep.net.call_ids import WAYS, CallIdCache
 from wickstep.net.release_queue import ReleaseQueue
 from wickstep.net.units import MS, SECOND
-from wickstep.net.unknown_calls import MAX_WAITING
+from wickstep.net.unknown_calls import MAX_WAITING, SERVER_BURST
 
 from .test_crossings import PausedLoop
 from .test_softswitch import ConnectedRig, Rig, Server, connected, list_line, rig, set_up_call, wait_for
@@ -133,6 +135,55 @@
     assert OLD_CALL in [caller.receive(Release).call for _ in range(2)]
 
 
+def test_hang_up_of_a_call_that_outlives_a_restart_by_an_hour_reaches_its_server(
+    connected: ConnectedRig,
+) -> None:
+    """Guards against calls that go on at their server after the caller has hung up: 30 s after a start the
+    caller's release was confirmed and reached nobody."""
+    rig, _, server_peer, caller = connected
+    let_start_be_an_hour_ago(rig)
+    caller.send(Release(OLD_CALL, Reason.CLEARED))
+    assert caller.receive(ReleaseComplete, OLD_CALL)
+    assert server_peer.receive(Release, OLD_CALL).reason is Reason.CLEARED
+
+
+def test_made_up_releases_of_one_caller_delay_no_others_hang_up(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first thousands are passed on at once; then hang-ups of all callers were dropped."""
+    rig, _, server_peer, caller = connected
+    other_caller = rig.caller()
+    assert rig.switch is not None
+    queue = rig.switch.relay.unknown_calls.to_servers
+    monkeypatch.setattr(queue, "_rate", 1e-6)
+    made_up = [*range(1 << 32, (1 << 32) + 3000)]
+    for call in made_up:
+        caller.send(Release(call, Reason.CLEARED))
+    wait_for(lambda: len(queue) == len(made_up) - SERVER_BURST)
+    other_caller.send(Release(OLD_CALL, Reason.CLEARED))
+    wait_for(lambda: len(queue) == len(made_up) - SERVER_BURST + 1)
+    monkeypatch.setattr(queue, "_tokens", 2.0)
+    caller.send(Release(1 << 40, Reason.CLEARED))
+    passed_on = [server_peer.receive(Release).call for _ in range(SERVER_BURST + 2)]
+    assert OLD_CALL in passed_on[-2:]
+
+
+def test_hang_up_before_a_server_is_connected_reaches_it_once_it_is(connected: ConnectedRig) -> None:
+    """Connections to servers come up during the first half second after a start: callers may be earlier."""
+    rig, _, server_peer, caller = connected
+    caller.send(Release(OLD_CALL, Reason.CLEARED))
+    server_peer.receive(Release, OLD_CALL)
+    late, new = Server(), Server()
+    rig.bulletin.publish(list_line(late, "s-2", 1))
+    assert late.accept().receive(Release, OLD_CALL).reason is Reason.CLEARED
+    born_ms = time.time_ns() // 1_000_000 + 1000  # after the start: no call of before can stand there
+    rig.bulletin.publish(list_line(new, "s-3", 1, born_ms=born_ms))
+    new_peer = new.accept()
+    wait_for(lambda: rig.switch is not None and rig.switch.shared.servers["s-3"].link is not None)
+    caller.send(Release(OLD_CALL + 1, Reason.CLEARED))
+    assert new_peer.receive(Release).call == OLD_CALL + 1
+
+
 def test_server_whose_messages_wait_for_the_loop_is_not_closed_over_an_unread_rest(
     connected: ConnectedRig,
 ) -> None:
@@ -181,11 +232,12 @@
     queue = ReleaseQueue(rate=100, burst=3, max_waiting=50, now=0)
     for call in range(1, 11):
         assert queue.add("a", release(call))
-    assert calls(queue.take(0)) == [10, 9, 8]  # the newest first
-    assert queue.take(9 * MS) == []
+    assert calls(queue.take(0, 2)) == [10, 9]  # the newest first
+    assert calls(queue.take(0, 9)) == [8]
+    assert queue.take(9 * MS, 9) == []
     assert queue.next_due(9 * MS) == 10 * MS
-    assert calls(queue.take(10 * MS)) == [7]
-    assert calls(queue.take(SECOND)) == [6, 5, 4]  # no more than a burst after a pause
+    assert calls(queue.take(10 * MS, 9)) == [7]
+    assert calls(queue.take(SECOND, 9)) == [6, 5, 4]  # no more than a burst after a pause
     assert len(queue) == 3
 
 
@@ -196,7 +248,7 @@
     assert queue.add("b", release(11))
     assert not queue.add("b", release(12))  # full: the oldest of "a" goes
     assert sorted(calls([*queue])) == [2, 3, 4, 5, 11, 12]
-    assert calls(queue.take(0)) == [5, 12, 4, 11]
+    assert calls(queue.take(0, 9)) == [5, 12, 4, 11]
 
 
 @given(st.lists(st.integers(1, 2**64 - 1) | st.integers(1, 200), max_size=300), st.integers(0, 100))
--- a/wickstep/net/book.py
+++ b/wickstep/net/book.py
@@ -22,9 +22,6 @@
 # The id of an ended call is kept for this long, to tell a repeated message from one about an unknown call.
 ENDED_CALL_RETENTION = 60 * SECOND
 MAX_PENDING_RELEASES = 1000  # releases kept for a connection that confirms none, and while none is open
-# Callers' releases of unknown calls are passed on for this long after the start.
-INHERITED_RELEASE_PERIOD = 30 * SECOND
-MAX_INHERITED_RELEASES = 2000  # passed on in that period
 
 
 class BookStage:
@@ -142,20 +139,6 @@
     def was_answered(self, call_id: int) -> bool:
         return self.ended_calls.get(call_id, (0, False))[1]
 
-    def may_be_inherited(self) -> bool:
-        """Whether a caller's release of an unknown call may concern a call of this softswitch's previous run.
-
-        Limited in time and number: callers that release calls they never set up must not burden the servers.
-        """
-        shared = self.shared
-        if (
-            shared.now - shared.started_at > INHERITED_RELEASE_PERIOD
-            or shared.counters["releases_inherited"] >= MAX_INHERITED_RELEASES
-        ):
-            return False
-        shared.counters["releases_inherited"] += 1
-        return True
-
     def is_known(self, call_id: int) -> bool:
         """Whether a call is open or stands here, or is remembered to have ended here."""
         shared = self.shared
--- a/wickstep/net/release_queue.py
+++ b/wickstep/net/release_queue.py
@@ -47,11 +47,11 @@
             del self._by_source[longest]
         return False
 
-    def take(self, now: int) -> list[Release]:
-        """Remove and return the releases that may be passed on now."""
+    def take(self, now: int, limit: int) -> list[Release]:
+        """Remove and return the releases that may be passed on now, `limit` of them at most."""
         self._refill(now)
         taken: list[Release] = []
-        while self._by_source and self._tokens >= 1:
+        while self._by_source and self._tokens >= 1 and len(taken) < limit:
             source, releases = self._by_source.popitem(last=False)
             taken.append(releases.pop())
             if releases:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -313,6 +313,8 @@
 
     # Connections to servers.
 
+    on_first_link: Callable[[Server, Link], None]  # called when a server is connected for the first time
+
     def connect(self, server: Server, additional: bool = False) -> None:
         needed = additional or server.link is None
         if needed and not server.dialing and server.state is not ServerState.GONE:
@@ -343,6 +345,8 @@
             server.replaced_links.append(server.link)
             self.shared.counters["links_replaced"] += 1
         link.heard_at = self.shared.now
+        if not server.linked_at:
+            self.on_first_link(server, link)
         server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
         waiting, server.waiting = server.waiting, []
         for attempt in waiting:
@@ -653,29 +657,33 @@
         since: messages about the current attempt come on its own connection while that is open."""
         return attempt.link is None or (attempt.link is not link and not attempt.link.closed)
 
-    def relay_caller_release(self, message: Release) -> bool:
+    def relay_caller_release(self, link: Link, message: Release) -> bool:
         """Pass a caller's release of a call that stands to its server; False if no such call is known."""
         attempt = self.shared.standing.get(message.call)
         if attempt is None:
-            host = self.shared.inherited_calls.take(message.call)
-            if host or (message.call not in self.book.ended_calls and self.book.may_be_inherited()):
-                # A call of this softswitch's previous run: the server that has it will recognise its id.
-                self.book.record_ended_call(message.call)
-                self.shared.recorder.call_ended(message.call)
-                for server in self.shared.servers.values():
-                    if server.link is not None and host in (None, server.host):
-                        server.link.send(Release(message.call, message.reason))
+            if (host := self.shared.inherited_calls.take(message.call)) is not None:
+                self._release_at(host, message)
+            elif not self.book.is_known(message.call):
+                self.unknown_calls.release_from_caller(link, message)
             return False
         self.send.remove_attempt(attempt)
         self.shared.recorder.call_ended(message.call)
         self.book.record_ended_call(message.call)
         self.shared.counters["calls_hung_up"] += 1
-        link = attempt.server.link or attempt.link
-        if link is not None:
-            link.send(Release(message.call, message.reason))
+        server_link = attempt.server.link or attempt.link
+        if server_link is not None:
+            server_link.send(Release(message.call, message.reason))
         self.route.report_end(attempt, Outcome.CANCELLED, True)
         return True
 
+    def _release_at(self, host: str, message: Release) -> None:
+        """Pass a caller's release on to the server where an inherited call stands."""
+        self.book.record_ended_call(message.call)
+        self.shared.recorder.call_ended(message.call)
+        server = self.shared.servers.get(host)
+        if server is not None and server.link is not None:
+            server.link.send(Release(message.call, message.reason))
+
 
 class AdmitStage:
     """Admission: turns a call away if the softswitch itself is full or drained, else asks the controller."""
@@ -891,7 +899,7 @@
         call = self.shared.open_calls.get(message.call)
         if call is not None and call.caller is link:
             return self.caller_left(call)
-        if call is not None or not self.relay.relay_caller_release(message):
+        if call is not None or not self.relay.relay_caller_release(link, message):
             self.shared.counters["strays"] += 1
 
     def caller_left(self, call: Call) -> None:
@@ -941,6 +949,7 @@
         self.route = RouteStage(shared)
         self.send = SendStage(shared, self.route, self.book)
         self.relay = RelayStage(shared, self.route, self.send, self.book)
+        self.send.on_first_link = self.relay.unknown_calls.on_first_link
         self.admit = AdmitStage(shared, self.route, self.book)
         self.admit.stop_attempt = self.send.stop_attempt
         self.number_analysis = make_analysis(shared, self.admit) if make_analysis is not None else None
