Keep inherited calls however old they are

What callers saw: a call that stood through an upgrade, and whose server went an hour or more later, after a further upgrade, was never released towards its caller.

Ruled out: the bound on the number (5,000, not reached by two calls).

Change: the table is bounded by number alone, and what is forgotten for want of room is counted (`calls_from_before_forgotten`). A call that this process has seen end is not taken from a record.

The test of the table asserted the age: it asserts now that a call stays, that the bound forgets the oldest, and how many.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -247,17 +247,18 @@
         handover.decode(content)
 
 
-def test_inherited_calls_go_by_release_by_server_or_by_age(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_inherited_calls_go_by_release_by_server_or_by_number(monkeypatch: pytest.MonkeyPatch) -> None:
     table = handover.InheritedCalls()
-    table.add({1: "a", 2: "a", 3: "b", 4: "b"}, now=0)
+    assert table.add({1: "a", 2: "a", 3: "b", 4: "b"}) == 0
     assert table.take(1) == "a"
     assert table.take(1) is None
     assert table.take_by_host("b") == [3, 4]
-    table.add({5: "c"}, now=handover.MAX_AGE + 1)
-    assert len(table) == 1
+    assert table.add({5: "c"}) == 0
+    assert len(table) == 2
     monkeypatch.setattr(handover, "MAX_CALLS", 2)
-    table.add({6: "c", 7: "c"}, now=handover.MAX_AGE + 2)
+    assert table.add({6: "c", 7: "c"}) == 2  # the oldest are forgotten
     assert table.take_by_host("c") == [6, 7]
+    assert len(table) == 0
 
 
 # Processes of one softswitch.
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import time
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wickstep.net import Answer, Reason, Release, ReleaseComplete, SetUp, codec
+from wickstep.net import Answer, Reason, Release, ReleaseComplete, SetUp, codec, softswitch
 from wickstep.net.call_ids import WAYS, CallIdCache
 from wickstep.net.release_queue import ReleaseQueue
-from wickstep.net.units import MS, SECOND
+from wickstep.net.units import MS, NS_PER_US, SECOND
 from wickstep.net.unknown_calls import MAX_WAITING, SERVER_BURST
+from wickstep.operation import handover
+from wickstep.operation.process_group import HandoverReceived
 
 from .test_crossings import PausedLoop
 from .test_softswitch import ConnectedRig, Rig, Server, connected, list_line, rig, set_up_call, wait_for
@@ -184,6 +187,36 @@
     assert new_peer.receive(Release).call == OLD_CALL + 1
 
 
+def let_hours_pass(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Set the loop's clock forward; other threads keep theirs."""
+    shifted = SimpleNamespace(**vars(time))
+    shifted.monotonic_ns = lambda: time.monotonic_ns() + 2 * HOUR * NS_PER_US
+    monkeypatch.setattr(softswitch, "time", shifted)
+
+
+def receive_handover(rig: Rig, *standing: int) -> None:
+    """The record of an earlier process is there: these calls stand at s-1."""
+    assert rig.switch is not None
+    content = handover.encode(dict.fromkeys(standing, "s-1"), [])
+    rig.switch.shared.inbox.put(HandoverReceived(content))
+    wait_for(lambda: rig.switch is not None and standing[-1] in rig.switch.shared.inherited_calls)
+
+
+def test_caller_of_a_call_older_than_an_upgrade_by_hours_is_told_when_its_server_goes(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against callers that hold a dead call: at an upgrade an hour later the process forgot them."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    receive_handover(rig, OLD_CALL)
+    let_hours_pass(monkeypatch)
+    set_up_call(rig, server_peer, caller)  # the loop has the time by then
+    receive_handover(rig, OLD_CALL + 1)
+    rig.bulletin.publish(list_line(server, "s-1", health="Gone"))
+    cut = {caller.receive(Release).call for _ in range(4)}
+    assert {OLD_CALL, OLD_CALL + 1, call} <= cut
+
+
 def test_server_whose_messages_wait_for_the_loop_is_not_closed_over_an_unread_rest(
     connected: ConnectedRig,
 ) -> None:
--- a/wickstep/operation/handover.py
+++ b/wickstep/operation/handover.py
@@ -1,8 +1,8 @@
 """What an ending process hands over to its successor: established calls, and releases not yet delivered.
 
 This file owns that record, and the successor's table of inherited calls. It must never do I/O or read a
-clock. The table is bounded; an entry is removed with the call's release, when its server's process ends, or
-by age.
+clock. An entry of the table is removed with the call's release or when its server's process ends, however
+long that takes; the table is bounded by number.
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 
 MAX_CALLS = 5000
 MAX_RELEASES = 1000
-MAX_AGE = 3600 * 1_000_000  # microseconds; a longer call is forgotten, and its parties hang up by themselves
 CALL_ID_LIMIT = 2**64
 
 
@@ -60,7 +59,7 @@
     """Calls that were established in an earlier process when it ended, by their ids."""
 
     def __init__(self) -> None:
-        self._calls: OrderedDict[int, tuple[str, int]] = OrderedDict()  # server's host, time of adding
+        self._calls: OrderedDict[int, str] = OrderedDict()  # the server's host, by call; the oldest first
         self.on_taken: Callable[[int], None] = lambda call: None  # the call was removed by `take`
 
     def __len__(self) -> int:
@@ -69,25 +68,24 @@
     def __contains__(self, call: int) -> bool:
         return call in self._calls
 
-    def add(self, standing: Mapping[int, str], now: int) -> None:
-        for call, host in standing.items():
-            self._calls[call] = (host, now)
-        while self._calls:
-            oldest = next(iter(self._calls))
-            if len(self._calls) <= MAX_CALLS and now - self._calls[oldest][1] <= MAX_AGE:
-                break
-            del self._calls[oldest]
+    def add(self, standing: Mapping[int, str]) -> int:
+        """Add calls by their servers' hosts; how many of the oldest were forgotten for want of room."""
+        self._calls.update(standing)
+        excess = max(len(self._calls) - MAX_CALLS, 0)
+        for _ in range(excess):
+            self._calls.popitem(last=False)
+        return excess
 
     def take(self, call: int) -> str | None:
         """Remove a call; its server's host, or None if it is not in the table."""
-        host = self._calls.pop(call, ("", 0))[0] or None
+        host = self._calls.pop(call, None)
         if host is not None:
             self.on_taken(call)
         return host
 
     def take_by_host(self, host: str) -> list[int]:
         """Remove all calls that are established at a server."""
-        calls = [call for call, (call_host, _) in self._calls.items() if call_host == host]
+        calls = [call for call, call_host in self._calls.items() if call_host == host]
         for call in calls:
             self.take(call)
         return calls
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -228,9 +228,12 @@
         log.warning(
             "handover from an earlier process: %d calls and %d releases", len(standing), len(releases)
         )
-        self.shared.inherited_calls.add(standing, self.shared.now)
+        book = self.take_in.book
+        calls = {call: host for call, host in standing.items() if not book.is_known(call)}
+        if forgotten := self.shared.inherited_calls.add(calls):
+            self.shared.counters["calls_from_before_forgotten"] += forgotten
         for call, reason in releases:
-            self.take_in.book.send_release(Release(call, reason), None)
+            book.send_release(Release(call, reason), None)
 
     def count_servers(self) -> None:
         """Count the servers, whose table only the loop may read; repeats itself."""
--- a/wickstep/recovery/call_recovery.py
+++ b/wickstep/recovery/call_recovery.py
@@ -50,7 +50,8 @@
         shared = self.shared
         result = self.journal.open(shared.now)
         standing = {call: k.host for call, k in result.live.items() if k.phase is Phase.STANDS}
-        shared.inherited_calls.add(standing, shared.now)
+        if forgotten := shared.inherited_calls.add(standing):
+            shared.counters["calls_from_before_forgotten"] += forgotten
         shared.inherited_calls.on_taken = self._on_call_taken
         for call, state in result.live.items():
             if state.host and state.phase is not Phase.STANDS:  # may have been set up: must not be sent again
@@ -114,7 +115,10 @@
         """Send the releases due to connected servers; a server without the call ignores its release."""
         for host in [*self.pending_releases]:
             server = self.shared.servers.get(host)
-            if server is None or (server.link is not None and all(
-                server.link.send(Release(call, Reason.CLEARED)) for call in self.pending_releases[host]
-            )):
+            if server is None or (
+                server.link is not None
+                and all(
+                    server.link.send(Release(call, Reason.CLEARED)) for call in self.pending_releases[host]
+                )
+            ):
                 del self.pending_releases[host]
