Hand inherited calls and waiting releases on to the next process

What callers saw: of a call that stood through two upgrades in a row nobody was told when its server went, and a release that waited for a caller at the end of a process was lost.

Cause: `Operation.stop` left the calls that the ending process had set up, and the releases in `undelivered`; not the calls that it had inherited, nor the queue in which releases of unknown calls wait.

Change: `make_handover` puts all four into the record, the inherited calls first, since the record keeps the latest where it is full.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -8,6 +8,7 @@
 
 import time
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -217,6 +218,49 @@
     assert {OLD_CALL, OLD_CALL + 1, call} <= cut
 
 
+class RecordingGroup:
+    """Stand-in for the processes of a softswitch: there is no other, and the record is kept."""
+
+    others: tuple[()] = ()
+
+    def __init__(self) -> None:
+        self.records: list[Any] = []
+
+    def announce_ready(self) -> None:
+        pass
+
+    def has_successor(self) -> bool:
+        return False
+
+    def leave(self, content: Any) -> None:
+        self.records.append(content)
+
+
+def test_second_upgrade_in_a_row_hands_on_the_calls_of_the_first(connected: ConnectedRig) -> None:
+    """Guards against callers that hold a dead call: only the calls that the process had set up were left."""
+    rig, _, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    receive_handover(rig, OLD_CALL)
+    assert rig.switch is not None
+    group = RecordingGroup()
+    setattr(rig.switch.operation, "group", group)  # noqa: B010
+    rig.stop()
+    standing, releases = handover.decode(group.records[0])
+    assert standing == {call: "s-1", OLD_CALL: "s-1"}
+    assert releases == []
+
+
+def test_releases_that_wait_for_a_caller_are_left_to_the_successor(connected: ConnectedRig) -> None:
+    rig, _, server_peer, _ = connected
+    server_peer.send(Release(OLD_CALL, Reason.CLEARED))
+    server_peer.receive(ReleaseComplete, OLD_CALL)
+    assert rig.switch is not None
+    group = RecordingGroup()
+    setattr(rig.switch.operation, "group", group)  # noqa: B010
+    rig.stop()
+    assert handover.decode(group.records[0]) == ({}, [(OLD_CALL, Reason.CLEARED)])
+
+
 def test_server_whose_messages_wait_for_the_loop_is_not_closed_over_an_unread_rest(
     connected: ConnectedRig,
 ) -> None:
--- a/wickstep/operation/handover.py
+++ b/wickstep/operation/handover.py
@@ -76,6 +76,9 @@
             self._calls.popitem(last=False)
         return excess
 
+    def hosts_by_call(self) -> dict[int, str]:
+        return dict(self._calls)
+
     def take(self, call: int) -> str | None:
         """Remove a call; its server's host, or None if it is not in the table."""
         host = self._calls.pop(call, None)
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -10,7 +10,7 @@
 import time
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from wickstep.interface import ServerState
 from wickstep.net import Release
@@ -83,10 +83,17 @@
         if self.operator_server is not None:
             self.operator_server.close()
         if self.group is not None:
-            book, standing = self.take_in.book, self.shared.standing
-            releases = [(release.call, release.reason) for _, release in book.undelivered]
-            hosts_by_call = {call: attempt.server.host for call, attempt in standing.items()}
-            self.group.leave(handover.encode(hosts_by_call, releases))
+            self.group.leave(self.make_handover())
+
+    def make_handover(self) -> dict[str, Any]:
+        """The record for a successor: calls that stand here or were inherited, and undelivered releases."""
+        shared, waiting = self.shared, self.take_in.relay.unknown_calls.to_callers
+        undelivered = [*waiting, *(release for _, release in self.take_in.book.undelivered)]
+        standing = {call: attempt.server.host for call, attempt in shared.standing.items()}
+        return handover.encode(
+            {**shared.inherited_calls.hosts_by_call(), **standing},
+            [(release.call, release.reason) for release in undelivered],
+        )
 
     def open_journal(self, plan: RecoveryPlan) -> None:
         """Keep a journal of calls if the recovery file asks for it, and recover the last process's calls."""
