--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -367,6 +367,6 @@
     assert found == plan.JournalPlan("each-turn", 200_000, 2.0, 50.0)
     assert plan.read('recovery {\n folder "/x"\n}').call_journal is None
     assert plan.SYNC_MODES == SYNC_MODES
-    for wrong in ("sync=\"often\"", "bytes-most=5", "confirm-s=0", "pace=0", "keep=1"):
+    for wrong in ('sync="often"', "bytes-most=5", "confirm-s=0", "pace=0", "keep=1"):
         with pytest.raises(KdlError):
             plan.read(f'recovery {{\n folder "/x"\n calls {wrong}\n}}')
--- a/wickstep/fleet/model.py
+++ b/wickstep/fleet/model.py
@@ -250,9 +250,7 @@
     def record_full(self, server: SimulatedServer) -> None:
         self.record.full.append((self.clock.now_s, server.name))
 
-    def call_finished(
-        self, softswitch: SimulatedSoftswitch, call: Call, kind: str, retry_after: int
-    ) -> None:
+    def call_finished(self, softswitch: SimulatedSoftswitch, call: Call, kind: str, retry_after: int) -> None:
         """Records the final answer of a call; a refused caller may try once more."""
         result = self.unfinished.pop((softswitch.number, call.number))
         delay = self.clock.now - result.requested_at
@@ -313,9 +311,7 @@
                     self.next_number += 1
                 self._draw_choice_weights()
             case "kill":
-                for softswitch in self.rng.sample(
-                    self.switches, round(event.part * len(self.switches))
-                ):
+                for softswitch in self.rng.sample(self.switches, round(event.part * len(self.switches))):
                     self._kill(softswitch)
 
     def _end_burst(self) -> None:
@@ -342,13 +338,9 @@
 
     def send_list_changes(self, servers: list[SimulatedServer]) -> None:
         """Sends a change of the pool list, which reaches each softswitch after a random delay."""
-        event = api.ServerList(
-            api.ListKind.CHANGES, tuple(self._list_entry(server) for server in servers)
-        )
+        event = api.ServerList(api.ListKind.CHANGES, tuple(self._list_entry(server) for server in servers))
         for softswitch in self.switches:
-            self.clock.after(
-                int(self.rng.random() * MAX_LIST_DELAY_S * SECOND), softswitch.dispatch, event
-            )
+            self.clock.after(int(self.rng.random() * MAX_LIST_DELAY_S * SECOND), softswitch.dispatch, event)
 
     def _kill(self, softswitch: SimulatedSoftswitch) -> None:
         """Kills and at once restarts a softswitch, which has then learned nothing and lost all its calls."""
--- a/wickstep/fleet/softswitch.py
+++ b/wickstep/fleet/softswitch.py
@@ -144,13 +144,9 @@
             self._one_way_delay(server), self._call_ended, server, call, attempt, server.report()
         )
 
-    def _call_ended(
-        self, server: SimulatedServer, call: int, attempt: int, report: dict[str, float]
-    ) -> None:
+    def _call_ended(self, server: SimulatedServer, call: int, attempt: int, report: dict[str, float]) -> None:
         if self.established.pop((call, attempt), None) is not None:
-            self.dispatch(
-                api.AttemptEnded(call, attempt, server.name, Outcome.ENDED, 0, True, False, report)
-            )
+            self.dispatch(api.AttemptEnded(call, attempt, server.name, Outcome.ENDED, 0, True, False, report))
 
     def receive_free_lines(self, server: SimulatedServer) -> None:
         self.dispatch(api.ProbeAnswered(server.name, True, 0, server.free_lines()))
--- a/wickstep/spread/report.py
+++ b/wickstep/spread/report.py
@@ -113,10 +113,15 @@
         for phase in phases
     ]
     template = jinja2.Environment(autoescape=True).from_string(PAGE_TEMPLATE)
-    return str(template.render(
-        title=title, names=MEASURE_TITLES, phases=rows, plot=render_plot(record),
-        servers=server_rows(record, phases[-1]),
-    ))
+    return str(
+        template.render(
+            title=title,
+            names=MEASURE_TITLES,
+            phases=rows,
+            plot=render_plot(record),
+            servers=server_rows(record, phases[-1]),
+        )
+    )
 
 
 def render_plot(record: Record) -> str:
