--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -15,7 +15,7 @@
 from wickstep.net import Reason
 from wickstep.operation import handover
 from wickstep.operation.process_group import HandoverReceived, ProcessGroup
-from wickstep.recovery import envelope, learned
+from wickstep.recovery import envelope, learned, ledger
 from wickstep.recovery.learned import HALF_LIFE, SECOND, LearnedState, ServerRecord
 
 from .helpers import START, Host, server_entry
@@ -255,12 +255,18 @@
     assert table.take_by_host("b") == [3, 4]
     assert table.add({5: "c"}) == 0
     assert len(table) == 2
-    monkeypatch.setattr(handover, "MAX_CALLS", 2)
+    monkeypatch.setattr(handover, "MAX_INHERITED_CALLS", 2)
     assert table.add({6: "c", 7: "c"}) == 2  # the oldest are forgotten
     assert table.take_by_host("c") == [6, 7]
     assert len(table) == 0
 
 
+def test_all_calls_of_a_full_journal_are_inherited() -> None:
+    """Guards against callers that hold a dead call: of more than 5,000 calls the oldest were forgotten."""
+    standing = dict.fromkeys(range(1, ledger.MAX_LIVE_CALLS + 1), "s0")
+    assert handover.InheritedCalls().add(standing) == 0
+
+
 # Processes of one softswitch.
 
 
--- a/wickstep/operation/handover.py
+++ b/wickstep/operation/handover.py
@@ -13,7 +13,8 @@
 
 from wickstep.net import Reason
 
-MAX_CALLS = 5000
+MAX_CALLS = 5000  # in a record
+MAX_INHERITED_CALLS = 20_000  # in the table: as many as a journal of calls holds
 MAX_RELEASES = 1000
 CALL_ID_LIMIT = 2**64
 
@@ -71,7 +72,7 @@
     def add(self, standing: Mapping[int, str]) -> int:
         """Add calls by their servers' hosts; how many of the oldest were forgotten for want of room."""
         self._calls.update(standing)
-        excess = max(len(self._calls) - MAX_CALLS, 0)
+        excess = max(len(self._calls) - MAX_INHERITED_CALLS, 0)
         for _ in range(excess):
             self._calls.popitem(last=False)
         return excess
