Give each stage of a call a file of its own, and cut the ring through operation/service

`operation/service`, `numbering/stage` and the command line name the file of the stage that they use, so nothing imports the loop but who runs it. All stages log under the name of before, which `wickstep spread` reads. Tests set the constants where they are now; nothing else in them changed.

The tests of softswitch, crossings, restart, numbers, spread, settings and operation pass.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,6 +27,7 @@
     bulletin,
     codec,
     links,
+    take_in,
 )
 from wickstep.net import softswitch as module
 
@@ -380,7 +381,7 @@
             call = rig.call(caller, wait_ms=4000)
         received_by = time.monotonic_ns() // 1000
     server_peer.receive(SetUp, call)
-    assert rig.switch.shared.open_calls[call].deadline <= received_by + 4_000_000 - module.ANSWER_MARGIN
+    assert rig.switch.shared.open_calls[call].deadline <= received_by + 4_000_000 - take_in.ANSWER_MARGIN
 
 
 def test_answer_to_an_attempt_that_was_just_given_up_is_not_forwarded(connected: ConnectedRig) -> None:
--- a/tests/test_number_stories.py
+++ b/tests/test_number_stories.py
@@ -16,6 +16,7 @@
 
 from wickstep.net import Answer, MalformedMessage, Note, Reason, Release, ReleaseComplete, SetUp
 from wickstep.net import softswitch as module
+from wickstep.net.admit import AdmitStage
 from wickstep.net.config import Config
 from wickstep.net.softswitch import Softswitch
 from wickstep.net.state import SharedState
@@ -54,7 +55,7 @@
         tables = [stage.load_table(self.path)]  # no reference is kept here, so that the table can be freed
         self.stage: stage.NumberStage | None = None
 
-        def make_stage(shared: SharedState, admit: module.AdmitStage) -> stage.NumberStage:
+        def make_stage(shared: SharedState, admit: AdmitStage) -> stage.NumberStage:
             self.stage = stage.NumberStage(shared, admit, self.path, tables.pop())
             return self.stage
 
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -40,7 +40,9 @@
     bulletin,
     codec,
     links,
+    send,
     state,
+    take_in,
 )
 from wickstep.net import softswitch as module
 from wickstep.net.config import DEFAULT_MAX_WAIT, Config
@@ -620,7 +622,7 @@
     idle_callers = [rig.caller() for _ in range(4)]
     for caller in idle_callers:
         set_up_call(rig, server_peer, caller)
-    monkeypatch.setattr(module, "EVICTABLE_IDLE", 0)
+    monkeypatch.setattr(take_in, "EVICTABLE_IDLE", 0)
     rig.switch.shared.caller_limit = 4
     new_caller, counters = rig.caller(), rig.switch.shared.counters
     wait_for(lambda: counters["callers_closed_for_room"] > 0)
@@ -821,8 +823,8 @@
 
     # The server is silent and no new connection comes up; with time-outs of 0 the test need not wait.
     monkeypatch.setattr(links, "dial", dial)
-    monkeypatch.setattr(module, "SILENCE_TIMEOUT", 0)
-    monkeypatch.setattr(module, "VANISHED_TIMEOUT", 0)
+    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 0)
+    monkeypatch.setattr(send, "VANISHED_TIMEOUT", 0)
     if refused:
         wait_for(lambda: len(dials) > 1)  # at the second dial the failure of the first is processed
         server_peer.send(Release(call, Reason.CLEARED))
@@ -833,12 +835,12 @@
     connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     rig, server, server_peer, caller = connected
-    monkeypatch.setattr(module, "SILENCE_TIMEOUT", 200_000)
+    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 200_000)
     set_up_call(rig, server_peer, caller)
     call = rig.call(caller, wait_ms=400)
     caller.receive(Release, call)
     new_peer = server.accept()  # the old one stays open and silent, as after a network outage
-    monkeypatch.setattr(module, "SILENCE_TIMEOUT", 10**9)
+    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 10**9)
     set_up_call(rig, new_peer, caller)
     assert server_peer.wait_closed()
 
@@ -942,7 +944,7 @@
     def break_off(send: Any, server: Any, link: Any, quiet_time: int) -> None:
         send.break_off(server, link, Outcome.RESET)
 
-    monkeypatch.setattr(module.SendStage, "check_replaced_link", break_off)
+    monkeypatch.setattr(send.SendStage, "check_replaced_link", break_off)
 
 
 def test_release_on_a_broken_off_connection_is_relayed(
@@ -998,18 +1000,18 @@
     connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, limit: str
 ) -> None:
     rig, server, server_peer, caller = connected
-    monkeypatch.setattr(module, "LINGER_TIME", 50_000 if limit == "time" else 10**9)
-    monkeypatch.setattr(module, "SILENCE_TIMEOUT", 10**9)  # no other connection replaces it meanwhile
+    monkeypatch.setattr(send, "LINGER_TIME", 50_000 if limit == "time" else 10**9)
+    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 10**9)  # no other connection replaces it meanwhile
     set_up_call(rig, server_peer, caller)
     assert rig.switch is not None
     server_state = rig.switch.shared.servers["s-1"]
     link = server_state.link
     server_peers = [server_peer]
-    for _ in range(1 if limit == "time" else module.MAX_LINKS):
+    for _ in range(1 if limit == "time" else send.MAX_LINKS):
         server_peers.append(replace_connection(rig, server))
         wait_for_shutdown(server_peers[-2])
     wait_for(lambda: link is not None and link.closed)
-    assert 1 + len(server_state.replaced_links) + len(server_state.lingering_links) <= module.MAX_LINKS
+    assert 1 + len(server_state.replaced_links) + len(server_state.lingering_links) <= send.MAX_LINKS
 
 
 def test_server_that_refuses_connections_is_not_dialled_at_every_check(
@@ -1056,11 +1058,11 @@
 ) -> None:
     """While the set-up's own connection is open, such an answer belongs to an earlier attempt."""
     rig, server, server_peer, caller = connected
-    monkeypatch.setattr(module, "SILENCE_TIMEOUT", 200_000)
+    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 200_000)
     call = rig.call(caller)
     server_peer.receive(SetUp, call)
     new_peer = server.accept()
-    monkeypatch.setattr(module, "SILENCE_TIMEOUT", 10**9)
+    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 10**9)
     new_peer.send(Answer(call, b"stale"))
     wait_for(lambda: rig.switch is not None and rig.switch.shared.counters["strays"] == 1)
     server_peer.send(Answer(call, b"fresh"))
@@ -1298,7 +1300,7 @@
     caller.receive(Release, call)
     assert rig.switch is not None
     proxies = rig.switch.shared.config.settings.proxies
-    max_probes = module.MAX_SAVED_PROBES + module.PROBES_PER_SERVER / proxies * 5
+    max_probes = send.MAX_SAVED_PROBES + send.PROBES_PER_SERVER / proxies * 5
     assert 1 <= rig.switch.shared.counters["probes_sent"] <= max_probes
 
 
--- a/wickstep/__main__.py
+++ b/wickstep/__main__.py
@@ -21,6 +21,7 @@
 from wickstep.net.config import Config
 
 if TYPE_CHECKING:
+    from wickstep.net.admit import AdmitStage
     from wickstep.net.state import SharedState
     from wickstep.numbering.table import Table
     from wickstep.recovery.store import LearnedStore
@@ -184,7 +185,7 @@
 
 def make_analysis(
     path: Path | None,
-) -> Callable[[SharedState, softswitch.AdmitStage], softswitch.NumberAnalysis] | None:
+) -> Callable[[SharedState, AdmitStage], softswitch.NumberAnalysis] | None:
     """A factory of the stage of number analysis; None without a table, and then no module of it is loaded."""
     if path is None:
         return None
--- a/wickstep/net/book.py
+++ b/wickstep/net/book.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import replace
@@ -14,11 +13,9 @@
 from wickstep.net import Answer, Release
 from wickstep.net.call_ids import CallIdCache
 from wickstep.net.links import Link
-from wickstep.net.state import Call, SharedState
+from wickstep.net.state import Call, SharedState, log
 from wickstep.net.units import SECOND
 
-log = logging.getLogger("wickstep.net.softswitch")  # `wickstep spread` reads the lines of this logger
-
 # The id of an ended call is kept for this long, to tell a repeated message from one about an unknown call.
 ENDED_CALL_RETENTION = 60 * SECOND
 MAX_PENDING_RELEASES = 1000  # releases kept for a connection that confirms none, and while none is open
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -7,6 +7,7 @@
 
 import heapq
 import itertools
+import logging
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -23,6 +24,8 @@
 from wickstep.operation.mode import Mode
 from wickstep.recovery.recorder import CallRecorder
 
+log = logging.getLogger("wickstep.net.softswitch")  # of all stages: `wickstep spread` reads its lines
+
 MIN_REDIAL_DELAY = 250 * MS  # between two connects to one server; doubled by each that fails
 
 
--- a/wickstep/numbering/stage.py
+++ b/wickstep/numbering/stage.py
@@ -21,7 +21,7 @@
 from typing import Protocol
 
 from wickstep.net import Reason, links
-from wickstep.net.softswitch import AdmitStage
+from wickstep.net.admit import AdmitStage
 from wickstep.net.state import Call, SharedState
 from wickstep.net.units import MS, SECOND
 from wickstep.numbering import enum_dns
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -22,8 +22,8 @@
 from wickstep.recovery import learned
 
 if TYPE_CHECKING:
-    from wickstep.net.softswitch import TakeInStage
     from wickstep.net.state import SharedState
+    from wickstep.net.take_in import TakeInStage
     from wickstep.recovery.journal import Journal
     from wickstep.recovery.plan import RecoveryPlan
     from wickstep.recovery.store import LearnedStore
