Keep a caller's hang-up for the next connection to its server

What callers saw: nothing. A call went on at its server to its own end if its caller hung up just when the server's connection was lost, whether the call was set up here, handed over or unknown.

Cause: the release was sent on the connection that was there, and dropped where there was none.

Change: it waits with the server (`Server.owed_releases`, 1,000 at most) and goes out on the next connection before anything else. What waits for a process that is gone or was started anew is dropped with its calls.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -294,6 +294,27 @@
     set_up_call(rig, server_peer, caller)
 
 
+@pytest.mark.parametrize("origin", ["set up here", "handed over", "unknown"])
+def test_hang_up_that_finds_no_connection_reaches_the_server_on_the_next(
+    connected: ConnectedRig, origin: str
+) -> None:
+    """Guards against calls that go on at their server after the caller has hung up."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    if origin != "set up here":
+        call = OLD_CALL
+    if origin == "handed over":
+        receive_handover(rig, call)
+    assert rig.switch is not None
+    inbox = rig.switch.shared.inbox
+    with PausedLoop(rig):
+        server_peer.reset()
+        wait_for(lambda: inbox.qsize() == 1)
+        caller.send(Release(call, Reason.CLEARED))
+        wait_for(lambda: inbox.qsize() == 2)
+    assert server.accept().receive(Release, call).reason is Reason.CLEARED
+
+
 # Units.
 
 
--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -96,9 +96,7 @@
         self.shared.recorder.call_ended(message.call)
         self.book.record_ended_call(message.call)
         self.shared.counters["calls_hung_up"] += 1
-        server_link = attempt.server.link or attempt.link
-        if server_link is not None:
-            server_link.send(Release(message.call, message.reason))
+        attempt.server.release_call(Release(message.call, message.reason), attempt.link)
         self.route.report_end(attempt, Outcome.CANCELLED, True)
         return True
 
@@ -107,5 +105,5 @@
         self.book.record_ended_call(message.call)
         self.shared.recorder.call_ended(message.call)
         server = self.shared.servers.get(host)
-        if server is not None and server.link is not None:
-            server.link.send(Release(message.call, message.reason))
+        if server is not None:
+            server.release_call(Release(message.call, message.reason))
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -222,6 +222,8 @@
         link.heard_at = self.shared.now
         if not server.linked_at:
             self.on_first_link(server, link)
+        while server.owed_releases:
+            link.send(server.owed_releases.popleft())
         server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
         waiting, server.waiting = server.waiting, []
         for attempt in waiting:
@@ -408,6 +410,7 @@
         for link in stale_links:
             link.close()
             self.on_link_closed(link, server)
+        server.owed_releases.clear()
         if server.state is ServerState.GONE:
             self.fail_waiting(server)
         self.cut_calls(server, cutoff, cause)
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -9,13 +9,13 @@
 import itertools
 import logging
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from queue import SimpleQueue
 
 from wickstep.interface import ServerState
-from wickstep.net import SetUp, links
+from wickstep.net import Release, SetUp, links
 from wickstep.net.config import Config
 from wickstep.net.links import Link
 from wickstep.net.units import MS, NS_PER_US
@@ -26,6 +26,7 @@
 
 log = logging.getLogger("wickstep.net.softswitch")  # of all stages: `wickstep spread` reads its lines
 
+MAX_OWED_RELEASES = 1000  # to one server
 MIN_REDIAL_DELAY = 250 * MS  # between two connects to one server; doubled by each that fails
 
 
@@ -55,6 +56,16 @@
     lingering_links: list[Link] = field(default_factory=list)  # closed for writing and still read
     waiting: list[Attempt] = field(default_factory=list)  # attempts waiting for a connection
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: in flight or standing
+    # Callers' releases that found no connection: sent on the next one.
+    owed_releases: deque[Release] = field(default_factory=lambda: deque(maxlen=MAX_OWED_RELEASES))
+
+    def release_call(self, release: Release, set_up_link: Link | None = None) -> None:
+        """Send a caller's release of a call that may stand here, now or once a connection is there.
+
+        `set_up_link` is the connection of the call's set-up, if it is known: it may outlive its successor.
+        """
+        if not any(link is not None and link.send(release) for link in (self.link, set_up_link)):
+            self.owed_releases.append(release)
 
 
 @dataclass(slots=True, eq=False)
--- a/wickstep/net/unknown_calls.py
+++ b/wickstep/net/unknown_calls.py
@@ -80,8 +80,8 @@
         release = Release(release.call, release.reason)
         self._sent_to_servers.append(release)
         for server in self.shared.servers.values():
-            if server.link is not None:
-                server.link.send(release)
+            if server.linked_at:  # the others get it with the rest, once they are connected
+                server.release_call(release)
 
     def _schedule_next(self) -> None:
         now = self.shared.now
