--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -215,6 +215,7 @@
 # Words in the names of scenarios in which processes, or links to the list, are down for a while.
 DOWN_WORDS = ("killed", "stalled", "group", "replaced")
 MAX_CONCURRENT_RUNS = 6
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples" / "rehearsals"
 
 
 def script(faults: str, state: str = "none") -> str:
@@ -228,12 +229,17 @@
 
 
 def run_scenario(name: str, faults: str, folder: Path) -> dict[str, Any]:
-    """The report of a run, in its own process so that concurrent runs do not delay each other."""
-    path, report_path = folder / f"{name}.kdl", folder / f"{name}.json"
+    """The report of a run of this script's faults."""
+    path = folder / f"{name}.kdl"
     states = {"state": "kept", "calls": "calls"}
     path.write_text(script(faults, states.get(name.split()[0], "none")))
+    return run_file(path, folder / f"{name}.json", timeout_s=60)
+
+
+def run_file(path: Path, report_path: Path, timeout_s: float) -> dict[str, Any]:
+    """The report of a run, in its own process so that concurrent runs do not delay each other."""
     command = [sys.executable, "-m", "wickstep", "rehearse", str(path), "--json", str(report_path)]
-    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    done = subprocess.run(command, capture_output=True, text=True, timeout=timeout_s)
     assert report_path.exists(), done.stdout + done.stderr
     found: dict[str, Any] = {
         **json.loads(report_path.read_text()),
@@ -266,6 +272,12 @@
     assert seconds[-1]["in_time"] >= 0.8 * seconds[-1]["offered"]
 
 
+def test_calls_that_outlive_a_restart_are_released_towards_their_callers(tmp_path: Path) -> None:
+    """Guards against callers that hold a dead call: those told of none that ended 30 s after the start."""
+    found = run_file(EXAMPLES / "long-calls.kdl", tmp_path / "report.json", timeout_s=120)
+    assert (found["breaches"], found["crashes"]) == ([], [])
+
+
 def test_the_command_prints_and_writes_the_report_and_exits_by_it(tmp_path: Path) -> None:
     script, report_path = tmp_path / "s.kdl", tmp_path / "told.json"
     script.write_text('rehearsal "tiny" softswitches=1 lasts-s=1 { servers 1; callers rate=20 wait-s=0.5; }')
