Fail a call that is over though its answer never came, and do not run it again

What callers saw: now and then a call that had just been answered counted as over: its first run, of which its caller had never heard, had ended.

Cause: a server whose answer was lost on a silent connection releases the call at its end with cause 16, which only a call that stood can have. `relay_release` took that for an error of the attempt, and the controller sent the call to the next server at once, where it stood anew.

Change: the call ends with the answer that it failed; for the controller the attempt has ended as one that stood. Counted as `answers_lost`.

The test fails without the change (the second server gets the call).

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -289,6 +289,24 @@
     caller.receive(Answer, call)
 
 
+def test_call_that_is_over_though_its_answer_never_came_is_failed_and_not_sent_again(rig: Rig) -> None:
+    """Guards against a call that runs twice: its second run was answered after the end of the first."""
+    servers = [Server(), Server()]
+    rig.open(list_line(servers[0], "s-1", 0), list_line(servers[1], "s-2", 1))
+    first, second, caller = servers[0].accept(), servers[1].accept(), rig.caller()
+    call = rig.call(caller)
+    first.receive(SetUp, call)
+    first.send(Release(call, Reason.CLEARED))  # the ordinary end of a call that was answered
+    assert caller.receive(Release, call).reason is Reason.FAILED
+    next_call = set_up_call(rig, first, caller)
+    assert next_call
+    second.send(Release(next_call, Reason.FULL))  # confirmed once what came before it has been sent
+    second.receive(ReleaseComplete, next_call)
+    assert not [message for message in second.received if isinstance(message, SetUp)]
+    assert rig.switch is not None
+    assert rig.switch.shared.counters["set_ups_sent"] == 2
+
+
 def test_unanswered_call_fails_before_its_caller_gives_up(connected: ConnectedRig) -> None:
     rig, _, server_peer, caller = connected
     started_at = time.monotonic()
--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -75,9 +75,21 @@
             self.book.send_release(Release(message.call, message.reason), attempt.call.caller)
             outcome = Outcome.ENDED if message.reason is Reason.CLEARED else Outcome.RESET
             return self.route.report_end(attempt, outcome, True, message)
+        if message.reason is Reason.CLEARED:
+            return self._end_unanswered_call(attempt, message)
         outcome = SERVER_OUTCOMES.get(message.reason, Outcome.ERROR)
         self.route.report_end(attempt, outcome, attempt.call.call_id not in self.shared.open_calls, message)
 
+    def _end_unanswered_call(self, attempt: Attempt, message: Release) -> None:
+        """End a call that stood at its server and is over there, though its answer never arrived.
+
+        It must not be sent again: it would run a second time.
+        """
+        call = attempt.call
+        self.shared.counters["answers_lost"] += 1
+        self.book.send_final_answer(call, Release(call.call_id, Reason.FAILED), "failed")
+        self.route.report_end(attempt, Outcome.ENDED, True, message)
+
     def _is_stale(self, attempt: Attempt, link: Link) -> bool:
         """Whether a message is about an earlier attempt of the call at this server, on a connection replaced
         since: messages about the current attempt come on its own connection while that is open."""
