Part the life of connections to servers, and probes, from the stage of attempts

Behaviour is the same; one block of stop_attempt became ServerConnections.suspect_if_silent. The tests' names follow; no assertion has changed.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -40,7 +40,8 @@
     bulletin,
     codec,
     links,
-    send,
+    probes,
+    server_connections,
     state,
     take_in,
 )
@@ -214,7 +215,7 @@
             setattr(switch.bulletin, "poll_once", threading.Event().wait)  # noqa: B010
         held_lock = threading.Lock()
         held_lock.acquire()
-        switch.send.reader._lock = held_lock
+        switch.connections.reader._lock = held_lock
 
 
 @pytest.fixture
@@ -841,8 +842,8 @@
 
     # The server is silent and no new connection comes up; with time-outs of 0 the test need not wait.
     monkeypatch.setattr(links, "dial", dial)
-    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 0)
-    monkeypatch.setattr(send, "VANISHED_TIMEOUT", 0)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 0)
+    monkeypatch.setattr(server_connections, "VANISHED_TIMEOUT", 0)
     if refused:
         wait_for(lambda: len(dials) > 1)  # at the second dial the failure of the first is processed
         server_peer.send(Release(call, Reason.CLEARED))
@@ -853,12 +854,12 @@
     connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     rig, server, server_peer, caller = connected
-    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 200_000)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 200_000)
     set_up_call(rig, server_peer, caller)
     call = rig.call(caller, wait_ms=400)
     caller.receive(Release, call)
     new_peer = server.accept()  # the old one stays open and silent, as after a network outage
-    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 10**9)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 10**9)
     set_up_call(rig, new_peer, caller)
     assert server_peer.wait_closed()
 
@@ -925,7 +926,7 @@
 def replace_connection(rig: Rig, server: Server) -> Peer:
     """Open another connection to the server, as the softswitch does if the present one looks unresponsive."""
     assert rig.switch is not None
-    shared, reader = rig.switch.shared, rig.switch.send.reader
+    shared, reader = rig.switch.shared, rig.switch.connections.reader
     links.dial(server.dial, 500_000, shared.inbox, shared.servers["s-1"], reader)
     return server.accept()
 
@@ -959,10 +960,10 @@
 
 
 def break_off_at_next_check(monkeypatch: pytest.MonkeyPatch) -> None:
-    def break_off(send: Any, server: Any, link: Any, quiet_time: int) -> None:
-        send.break_off(server, link, Outcome.RESET)
+    def break_off(connections: Any, server: Any, link: Any, quiet_time: int) -> None:
+        connections.break_off(server, link, Outcome.RESET)
 
-    monkeypatch.setattr(send.SendStage, "check_replaced_link", break_off)
+    monkeypatch.setattr(server_connections.ServerConnections, "check_replaced_link", break_off)
 
 
 def test_release_on_a_broken_off_connection_is_relayed(
@@ -1018,18 +1019,23 @@
     connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, limit: str
 ) -> None:
     rig, server, server_peer, caller = connected
-    monkeypatch.setattr(send, "LINGER_TIME", 50_000 if limit == "time" else 10**9)
-    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 10**9)  # no other connection replaces it meanwhile
+    monkeypatch.setattr(server_connections, "LINGER_TIME", 50_000 if limit == "time" else 10**9)
+    monkeypatch.setattr(
+        server_connections, "SILENCE_TIMEOUT", 10**9
+    )  # no other connection replaces it meanwhile
     set_up_call(rig, server_peer, caller)
     assert rig.switch is not None
     server_state = rig.switch.shared.servers["s-1"]
     link = server_state.link
     server_peers = [server_peer]
-    for _ in range(1 if limit == "time" else send.MAX_LINKS):
+    for _ in range(1 if limit == "time" else server_connections.MAX_LINKS):
         server_peers.append(replace_connection(rig, server))
         wait_for_shutdown(server_peers[-2])
     wait_for(lambda: link is not None and link.closed)
-    assert 1 + len(server_state.replaced_links) + len(server_state.lingering_links) <= send.MAX_LINKS
+    assert (
+        1 + len(server_state.replaced_links) + len(server_state.lingering_links)
+        <= server_connections.MAX_LINKS
+    )
 
 
 def test_server_that_refuses_connections_is_not_dialled_at_every_check(
@@ -1076,11 +1082,11 @@
 ) -> None:
     """While the set-up's own connection is open, such an answer belongs to an earlier attempt."""
     rig, server, server_peer, caller = connected
-    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 200_000)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 200_000)
     call = rig.call(caller)
     server_peer.receive(SetUp, call)
     new_peer = server.accept()
-    monkeypatch.setattr(send, "SILENCE_TIMEOUT", 10**9)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 10**9)
     new_peer.send(Answer(call, b"stale"))
     wait_for(lambda: rig.switch is not None and rig.switch.shared.counters["strays"] == 1)
     server_peer.send(Answer(call, b"fresh"))
@@ -1318,7 +1324,7 @@
     caller.receive(Release, call)
     assert rig.switch is not None
     proxies = rig.switch.shared.config.settings.proxies
-    max_probes = send.MAX_SAVED_PROBES + send.PROBES_PER_SERVER / proxies * 5
+    max_probes = probes.MAX_SAVED_PROBES + probes.PROBES_PER_SERVER / proxies * 5
     assert 1 <= rig.switch.shared.counters["probes_sent"] <= max_probes
 
 
--- /dev/null
+++ b/wickstep/net/server_connections.py
@@ -0,0 +1,277 @@
+"""The life of the connections to setup servers: opened, suspected, replaced and closed.
+
+This file owns which connection to a server is used, and when another one is tried. It must never choose a
+server for a call, nor decide how an attempt that ends with its connection goes on: the stage of attempts
+does. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+from wickstep.interface import Outcome, ServerState
+from wickstep.net import links
+from wickstep.net.links import DialFailed, Link
+from wickstep.net.probes import Probes
+from wickstep.net.state import MIN_REDIAL_DELAY, Attempt, Server, SharedState
+from wickstep.net.units import MS, SECOND
+from wickstep.recovery import jitter
+
+SILENCE_TIMEOUT = 2 * SECOND  # a connection that has received nothing for this long is suspected to be dead
+# After this much silence the server's machine counts as lost if no new connection comes up.
+VANISHED_TIMEOUT = 4 * SECOND
+DEAD_AFTER_REFUSALS = 2  # refused connects in a row, after a reset, that show that the process is dead
+# A probe is sent if a set-up is in flight for longer than this factor times the server's smoothed delay, and
+# for longer than this time.
+PROBE_AFTER_FACTOR, MIN_PROBE_AFTER = 1.5, 40 * MS
+WATCH_INTERVAL = 20 * MS  # between two checks of the set-ups in flight and their connections
+IDLE_WATCH_INTERVAL = 200 * MS  # the same while nothing is in flight
+MAX_REDIAL_DELAY = 2 * SECOND  # of the exponential backoff between connects to one server
+MAX_LINKS = 4  # connections to one server, the replaced ones included
+# A replaced connection is still read for this long: its server may write to it until it notices the end.
+LINGER_TIME = 2 * SECOND
+
+
+class Attempts(Protocol):
+    """What happens to the attempts at a server when a connection opens or ends."""
+
+    def send_set_up(self, attempt: Attempt) -> None: ...
+    def fail_waiting(self, server: Server) -> None: ...
+    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome) -> None: ...
+    def cut_calls(self, server: Server, cutoff: int, cause: str) -> None: ...
+
+
+class ServerConnections:
+    """Opens, watches, replaces and closes the connections to all setup servers."""
+
+    attempts: Attempts
+    on_first_link: Callable[[Server, Link], None]  # called when a server is connected for the first time
+
+    def __init__(self, shared: SharedState, probes: Probes) -> None:
+        self.shared, self.probes = shared, probes
+        self.reader = links.Reader()
+        self.next_watch_at = 0
+        self.random = random.Random(shared.config.seed ^ 0xD1A1)
+
+    def connect(self, server: Server, additional: bool = False) -> None:
+        needed = additional or server.link is None
+        if needed and not server.dialing and server.state is not ServerState.GONE:
+            server.dialing = True
+            self.shared.counters["dials"] += 1
+            links.dial(
+                server.address, self.shared.config.dial_timeout, self.shared.inbox, server, self.reader
+            )
+
+    def connect_after_jitter(self, server: Server) -> None:
+        """Connect after a random delay, as all softswitches learn of a server at once; no call waits."""
+        if server.link is None and not server.dialing and not server.redial_pending:
+            server.redial_pending = True
+            self.shared.schedule(
+                self.shared.now + jitter.draw_dial_delay_us(self.random),
+                partial(self._connect_scheduled, server),
+            )
+
+    def _connect_scheduled(self, server: Server) -> None:
+        server.redial_pending = False
+        self.connect(server)
+
+    def on_link_opened(self, link: Link, server: Server) -> None:
+        server.dialing = False
+        if server.state is ServerState.GONE:
+            return link.close()
+        if server.link is not None:
+            server.replaced_links.append(server.link)
+            self.shared.counters["links_replaced"] += 1
+        link.heard_at = self.shared.now
+        if not server.linked_at:
+            self.on_first_link(server, link)
+        while server.owed_releases:
+            link.send(server.owed_releases.popleft())
+        server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
+        waiting, server.waiting = server.waiting, []
+        for attempt in waiting:
+            self.attempts.send_set_up(attempt)
+        self.retire_replaced_links(server)
+        if server.replaced_links and self.shared.config.settings.may_probe:
+            # An answer shows that the server is well and only the old connection is dead.
+            self.probes.probe(server, link)
+
+    def retire_replaced_links(self, server: Server) -> None:
+        """Close replaced connections with nothing in flight, and the oldest ones if there are too many."""
+        links_in_use = {a.link for a in server.attempts.values() if not a.stands}
+        while server.replaced_links and (
+            len(server.replaced_links) >= MAX_LINKS - 1 or server.replaced_links[0] not in links_in_use
+        ):
+            link = server.replaced_links.pop(0)
+            if link in links_in_use:
+                link.finish()  # its attempts end when the end of the connection is received
+            else:
+                link.finish(keep_reading=True)
+                self.linger(server, link)
+        while (
+            server.lingering_links and len(server.replaced_links) + len(server.lingering_links) >= MAX_LINKS
+        ):
+            server.lingering_links.pop(0).close()
+
+    def linger(self, server: Server, link: Link) -> None:
+        """Read a connection closed for writing for a while: releases of its calls may be on the way.
+
+        The server sends them there until it notices the end, and only then on another connection.
+        """
+        server.lingering_links.append(link)
+        self.shared.schedule(self.shared.now + LINGER_TIME, link.close)
+
+    def on_dial_failed(self, failure: DialFailed) -> None:
+        server: Server = failure.owner
+        server.dialing = False
+        self.shared.counters["dials_refused" if failure.refused else "dials_failed"] += 1
+        self.attempts.fail_waiting(server)
+        if server.link is not None:
+            # A draining server refuses every additional connection: wait before the next one is tried.
+            server.additional_dial_after = self.shared.now + MIN_REDIAL_DELAY
+            # An additional connection failed. If it was refused, the machine is alive, and the open
+            # connection shows that the process is too: a draining server takes no new connections and serves
+            # its old ones.
+            if not failure.refused and self.shared.now - server.link.heard_at > VANISHED_TIMEOUT:
+                # Long silence, and no new connection comes up: the machine is lost, with the calls that stood
+                # there. The bulletin may report it only once it is back, which is too late for the callers.
+                self.shared.counters["servers_vanished"] += 1
+                self.drop_process(server, self.shared.now, "silent, and a new connection failed")
+            return
+        server.refusals += failure.refused and server.link_lost
+        if server.refusals == DEAD_AFTER_REFUSALS:
+            # No process listens after the reset: it has died, and its calls with it. The bulletin reports
+            # that only seconds later. One refusal is not enough: the last messages may still be on the way.
+            self.attempts.cut_calls(server, self.shared.now, "reset, and refuses connections")
+        self.schedule_redial(server)
+
+    def schedule_redial(self, server: Server) -> None:
+        """Connect again later; one timer for each server, however many set-ups asked for a connection."""
+        if server.redial_pending:
+            return
+        server.redial_pending = True
+        self.shared.schedule(self.shared.now + server.redial_after, partial(self._connect_scheduled, server))
+        server.redial_after = min(2 * server.redial_after, MAX_REDIAL_DELAY)
+
+    def on_link_closed(self, link: Link, server: Server) -> None:
+        """End the attempts in flight on a closed connection; calls that stand do not depend on it."""
+        if server.link is link:
+            server.link, server.link_lost = None, True
+        elif link in server.replaced_links:
+            server.replaced_links.remove(link)
+        elif link in server.lingering_links:
+            server.lingering_links.remove(link)
+        self.attempts.end_attempts_on(link, server, Outcome.RESET)
+        if server.link is not None:
+            return  # it was replaced: nothing is missing, and the backoff must not grow
+        if self.shared.now - server.linked_at < SECOND:
+            # A server that accepts and closes must not be dialled in a tight loop.
+            return self.schedule_redial(server)
+        server.redial_after = MIN_REDIAL_DELAY
+        self.connect(server)
+
+    def watch(self) -> None:
+        """Check what is in flight: answers get lost, and connections die while their servers are well."""
+        now = self.shared.now
+        if now < self.next_watch_at:
+            return  # an earlier check was scheduled since, and is done
+        idle = True
+        for server in [*self.shared.servers.values()]:
+            # By connection: when its oldest set-up in flight was sent.
+            oldest_sent: dict[Link | None, int] = {}
+            for attempt in server.attempts.values():
+                if not attempt.stands:
+                    oldest_sent[attempt.link] = min(oldest_sent.get(attempt.link, now), attempt.sent_at)
+            idle = idle and not oldest_sent and not server.replaced_links
+            for link in [*server.replaced_links]:
+                self.check_replaced_link(server, link, now - max(link.heard_at, oldest_sent.get(link, now)))
+            if server.link is not None and server.attempts:
+                self.check_current_link(server, server.link, oldest_sent.get(server.link, now))
+        self.schedule_watch(now + (IDLE_WATCH_INTERVAL if idle else WATCH_INTERVAL))
+
+    def watch_soon(self) -> None:
+        """A set-up is in flight: check its connection soon."""
+        self.schedule_watch(self.shared.now + WATCH_INTERVAL)
+
+    def suspect_if_silent(self, server: Server, link: Link, sent_at: int) -> None:
+        """Try another connection if nothing was received on this one since before a failed set-up was sent.
+
+        A machine that was cut off may be back while its old connections stay silent for ever.
+        """
+        is_silent = link.heard_at < min(sent_at, self.shared.now - SILENCE_TIMEOUT)
+        if is_silent and link is server.link:
+            self.connect(server, additional=True)
+
+    def schedule_watch(self, due: int) -> None:
+        """Schedule the next check, at the latest for this time."""
+        if not self.shared.now < self.next_watch_at <= due:
+            self.next_watch_at = due
+            self.shared.schedule(due, self.watch)
+
+    def check_current_link(self, server: Server, link: Link, oldest_sent: int) -> None:
+        """Probe a server where a set-up has been in flight for long; without any reply, try a new connection.
+
+        The answer to the probe shows the controller what is lost. Without it the controller would learn of
+        that from the next set-up that stands there, and a softswitch with few calls has none for half an aim.
+        A dead connection loses the probe too, and an additional connection then shows whether the server is
+        alive. Without probes that one is tried after half the shortest time in which a call is wanted.
+        """
+        now = self.shared.now
+        silence = now - max(link.heard_at, oldest_sent)
+        probe_after = max(int(PROBE_AFTER_FACTOR * server.smoothed_delay), MIN_PROBE_AFTER)
+        if self.shared.config.settings.may_probe and now - max(oldest_sent, link.probed_at) > probe_after:
+            self.probes.probe(server, link)
+        probe_unanswered = link.probed_at > link.heard_at and now - link.probed_at > max(
+            server.smoothed_delay, MIN_PROBE_AFTER
+        )
+        is_silent = silence > self.shared.min_aim // 2 or now - link.heard_at > SILENCE_TIMEOUT
+        if (
+            is_silent or (probe_unanswered and silence > probe_after)
+        ) and now >= server.additional_dial_after:
+            self.connect(server, additional=True)
+
+    def check_replaced_link(self, server: Server, link: Link, silence: int) -> None:
+        """Close a replaced connection once its successor shows that it is dead.
+
+        A processor works in order: an answer on the successor to something sent later means that only this
+        connection is at fault. It ends as reset, since a time-out would mark a server that is well and may be
+        the only one. If the successor has received anything at all, and the whole time in which a call is
+        wanted has passed, what is in flight here has timed out.
+        """
+        if server.link is None:
+            return
+        overtaken = link.heard_at < link.probed_at <= server.linked_at - MIN_PROBE_AFTER
+        if server.link.has_answered and (overtaken or silence > self.shared.min_aim // 2):
+            self.break_off(server, link, Outcome.RESET)
+        elif server.link.has_spoken and silence > self.shared.min_aim:
+            self.break_off(server, link, Outcome.TIMEOUT)
+
+    def break_off(self, server: Server, link: Link, outcome: Outcome) -> None:
+        """Close a connection that will bring no more answers."""
+        self.shared.counters["links_dumb"] += 1
+        if link in server.replaced_links:
+            server.replaced_links.remove(link)
+        link.close(keep_reading=True)
+        self.linger(server, link)
+        self.attempts.end_attempts_on(link, server, outcome)
+
+    def drop_process(self, server: Server, cutoff: int, cause: str) -> None:
+        """End the connections and calls of a server process that served until `cutoff` and is gone.
+
+        The connections go first: what the controller sends to the successor when it hears of a cut call must
+        not be sent on one of them.
+        """
+        stale_links = [*server.replaced_links]
+        # A connection opened after the new process's start leads to that process already.
+        if server.link and (server.state is ServerState.GONE or server.linked_at <= cutoff):
+            stale_links.append(server.link)
+        for link in stale_links:
+            link.close()
+            self.on_link_closed(link, server)
+        server.owed_releases.clear()
+        if server.state is ServerState.GONE:
+            self.attempts.fail_waiting(server)
+        self.attempts.cut_calls(server, cutoff, cause)
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -42,9 +42,11 @@
 from wickstep.net.bulletin import ListUpdate
 from wickstep.net.config import Config
 from wickstep.net.links import Closed, DialFailed, Link, Opened, Received
+from wickstep.net.probes import Probes
 from wickstep.net.relay import RelayStage
 from wickstep.net.route import RouteStage
 from wickstep.net.send import SendStage
+from wickstep.net.server_connections import ServerConnections
 from wickstep.net.state import Call, Server, SharedState, log
 from wickstep.net.take_in import TakeInStage
 from wickstep.net.units import MS, NS_PER_US, SECOND
@@ -100,9 +102,11 @@
         shared = self.shared = SharedState(config, now)
         self.book = BookStage(shared)
         self.route = RouteStage(shared)
-        self.send = SendStage(shared, self.route, self.book)
+        self.probes = Probes(shared, self.route)
+        self.connections = ServerConnections(shared, self.probes)
+        self.send = SendStage(shared, self.route, self.book, self.connections)
         self.relay = RelayStage(shared, self.route, self.send, self.book)
-        self.send.on_first_link = self.relay.unknown_calls.on_first_link
+        self.connections.on_first_link = self.relay.unknown_calls.on_first_link
         self.admit = AdmitStage(shared, self.route, self.book)
         self.admit.stop_attempt = self.send.stop_attempt
         self.number_analysis = make_analysis(shared, self.admit) if make_analysis is not None else None
@@ -120,7 +124,7 @@
             api.Fail: self.admit.fail_call,
             api.Cancel: self.send.cancel_attempt,
             api.Wake: self.route.schedule_wake,
-            api.Probe: self.send.send_probe,
+            api.Probe: self.probes.send_requested,
             api.Message: lambda action: None,  # softswitches exchange no messages
             api.FollowList: lambda action: None,  # the bulletin client follows the list anyhow
         }
@@ -137,8 +141,8 @@
         """Serve until a stop is requested, then answer the open calls."""
         shared = self.shared
         self.route.handle_event(api.Started())
-        self.send.reader.start()
-        self.send.watch_attempts()
+        self.connections.reader.start()
+        self.connections.watch()
         self.close_idle_callers()
         if self.number_analysis is not None:
             self.number_analysis.start()
@@ -253,7 +257,7 @@
                 else:
                     self.handle_caller_message(link, message, received_at)
             case Opened(link=link) if isinstance(link.owner, Server):
-                self.send.on_link_opened(link, link.owner)
+                self.connections.on_link_opened(link, link.owner)
             case Opened(link=link):
                 link.heard_at = self.shared.now
                 self.shared.caller_links[link] = None
@@ -263,11 +267,11 @@
                 link.closed = True
                 self.shared.counters["malformed"] += malformed
                 if isinstance(link.owner, Server):
-                    self.send.on_link_closed(link, link.owner)
+                    self.connections.on_link_closed(link, link.owner)
                 else:
                     self.take_in.on_link_closed(link)
             case DialFailed():
-                self.send.on_dial_failed(item)
+                self.connections.on_dial_failed(item)
             case ListUpdate():
                 self.update_servers(item)
             case HandoverReceived():
@@ -306,11 +310,11 @@
             case TestResult(call=probe_id, passed=False):
                 # Rejected: a processor probed by hundreds answers so at once, ahead of its queue, which says
                 # nothing of what waits there.
-                self.send.finish_probe(probe_id, None)
+                self.probes.finish(probe_id, None)
             case (
                 GroupState(call=probe_id, report=load_report) | TestResult(call=probe_id, report=load_report)
             ):
-                if self.send.finish_probe(probe_id, load_report):
+                if self.probes.finish(probe_id, load_report):
                     link.has_answered = True
                 elif load_report:
                     report = self.route.convert_report(load_report)
@@ -360,9 +364,9 @@
             if server.state is ServerState.GONE:
                 del shared.servers[server.host]
             cause = "gone" if server.state is ServerState.GONE else "restarted"
-            self.send.drop_process(server, cutoff, cause)
+            self.connections.drop_process(server, cutoff, cause)
         for server in shared.servers.values():
-            self.send.connect_after_jitter(server)
+            self.connections.connect_after_jitter(server)
         shared.list_known = shared.list_known or bool(shared.servers)
 
     def _is_finished(self) -> bool:
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -183,7 +183,7 @@
             # What setup servers sent about calls on the last connections of an ended process, they repeat on
             # the next connection that is opened.
             for server in shared.servers.values():
-                self.take_in.send.connect(server, additional=True)
+                self.take_in.send.connections.connect(server, additional=True)
 
     def server_starts_ms(self) -> dict[str, int]:
         """The servers' starts in Unix time, as on the pool list, since each process has its own time zero."""
