Open further connections while calls stand whose release may go to a dead one

What callers saw: a connection to a setup server fell silent and stayed open.

Cause: a server writes a release to the connection of the set-up, which it takes for open, and once more to the next one that is opened.

Ruled out: that a release arrives and is dropped or taken for a repeated one.

Change: Closed says how a connection ended, by what its peer knows of it (LinkEnd). While calls stand whose release may go to a connection that ended here alone, their server is given a further connection every 4 to 5.5 s, which carries no set-up and is closed after a second (net/call_audit.py; when: net/audit_schedule.py, without I/O or clock). It holds for any length of a call, a second silence, calls inherited, calls whose own connection ended in order while another is dead, and a connection that stops within a message. At most four connections to a server, a sixteenth of the descriptors in all.

--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,215 @@
+"""Connections to setup servers that die without a sign: the server takes them for open and writes into them.
+
+A test's connection is dead once the test neither reads it nor ends it. The rig's servers tell nothing by
+themselves, so the tests say when a connection is replaced.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from wickstep.net import Answer, Reason, Release, SetUp, audit_schedule, links, server_connections
+from wickstep.net.state import Server as ServerState
+from wickstep.net.units import MS, SECOND
+from wickstep.operation import handover
+from wickstep.operation.process_group import HandoverReceived
+
+from .test_softswitch import (
+    ConnectedRig,
+    Peer,
+    Rig,
+    Server,
+    connected,
+    list_line,
+    replace_connection,
+    rig,
+    set_up_call,
+    wait_for,
+)
+
+__all__ = ["connected", "rig"]  # fixtures
+
+NEVER = 10**12
+
+
+@pytest.fixture(autouse=True)
+def short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Audits once a second. Silence itself replaces no connection, since the rig's servers are quiet."""
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
+    monkeypatch.setattr(server_connections, "LINGER_TIME", 0)
+    monkeypatch.setattr(server_connections, "AUDIT_LINK_TIME", NEVER)
+    set_interval(monkeypatch, SECOND)
+
+
+def set_interval(monkeypatch: pytest.MonkeyPatch, interval: int) -> None:
+    monkeypatch.setattr(audit_schedule, "MIN_FIRST_DELAY", min(interval, 100 * MS))
+    monkeypatch.setattr(audit_schedule, "MIN_INTERVAL", interval)
+    monkeypatch.setattr(audit_schedule, "MAX_INTERVAL", interval)
+
+
+@pytest.fixture
+def kept() -> list[Peer]:
+    """Connections that stay open and silent: one that nothing refers to is closed."""
+    return []
+
+
+def counter(rig: Rig, name: str) -> int:
+    assert rig.switch is not None
+    return rig.switch.shared.counters[name]
+
+
+def lose_connection(rig: Rig, server: Server) -> Peer:
+    """The present connection is dead, and is replaced by the one returned."""
+    assert rig.switch is not None
+    peer = replace_connection(rig, server)
+    wait_for(lambda: "s-1" in rig.switch.shared.hosts_with_lost_links)  # type: ignore[union-attr]
+    return peer
+
+
+def test_calls_of_a_dead_connection_are_released_whenever_they_end(connected: ConnectedRig) -> None:
+    """Guards against calls that are never released: their server tells it on a dead connection alone."""
+    rig, server, server_peer, caller = connected
+    calls = [set_up_call(rig, server_peer, caller) for _ in range(2)]
+    new_peer = lose_connection(rig, server)
+    for call in calls:  # each ends after the connection before was opened
+        audit_peer = server.accept()
+        audit_peer.send(Release(call, Reason.CLEARED))
+        assert caller.receive(Release, call).reason is Reason.CLEARED
+        set_up_call(rig, new_peer, caller)  # the replacement carries the calls, before and after
+    assert counter(rig, "audit_links") == 2
+
+
+def test_a_second_dead_connection_is_audited_like_the_first(
+    connected: ConnectedRig, kept: list[Peer]
+) -> None:
+    """Guards against a mend that holds only until the replacement dies as well."""
+    rig, server, server_peer, caller = connected
+    first = set_up_call(rig, server_peer, caller)
+    second_peer = lose_connection(rig, server)
+    kept.append(server.accept())  # an audit's connection, silent like the others from here on
+    second = set_up_call(rig, second_peer, caller)
+    kept.append(lose_connection(rig, server))
+    audit_peer = server.accept()
+    audit_peer.send(Release(first, Reason.CLEARED), Release(second, Reason.CLEARED))
+    assert {caller.receive(Release).call for _ in range(2)} == {first, second}
+
+
+def test_calls_of_an_ended_connection_are_audited_while_another_is_dead(
+    connected: ConnectedRig, kept: list[Peer]
+) -> None:
+    """Guards against releases lost after an orderly end: their server may use the dead one."""
+    rig, server, _, caller = connected
+    second_peer = lose_connection(rig, server)  # no call stood on the first one
+    call = set_up_call(rig, second_peer, caller)
+    second_peer.sock.close()
+    kept.append(server.accept())
+    audit_peer = server.accept()
+    audit_peer.send(Release(call, Reason.CLEARED))
+    assert caller.receive(Release, call).reason is Reason.CLEARED
+
+
+def test_a_connection_that_stops_within_a_message_counts_as_dead(
+    connected: ConnectedRig, kept: list[Peer]
+) -> None:
+    """Guards against calls that are never released: the cut fell into a message, and no probe was needed."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    server_peer.sock.sendall(b"\x00")
+    kept.append(server.accept())
+    audit_peer = server.accept()
+    audit_peer.send(Release(call, Reason.CLEARED))
+    assert caller.receive(Release, call).reason is Reason.CLEARED
+
+
+def test_no_further_connection_is_opened_if_the_server_has_ended_the_replaced_one(
+    connected: ConnectedRig,
+) -> None:
+    """Guards against needless connections: a slow server's is replaced too, and its calls go on."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    server_connections.LINGER_TIME = NEVER  # restored by the fixture: the server's end is awaited
+    new_peer = replace_connection(rig, server)
+    assert server_peer.wait_closed()
+    server_peer.sock.close()
+    assert rig.switch is not None
+    audit = rig.switch.connections.audit
+    wait_for(lambda: "s-1" not in audit.schedule)  # looked at when it was due, and found to be well
+    assert (counter(rig, "audit_dials"), rig.switch.shared.hosts_with_lost_links) == (0, set())
+    new_peer.send(Release(call, Reason.CLEARED))
+    assert caller.receive(Release, call).reason is Reason.CLEARED
+
+
+def test_audits_stop_once_no_call_is_untold(connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections opened for ever: a lost connection alone costs nothing."""
+    set_interval(monkeypatch, 20 * MS)
+    rig, server, _, caller = connected
+    new_peer = lose_connection(rig, server)
+    set_up_call(rig, new_peer, caller)
+    looks: list[str] = []
+    assert rig.switch is not None
+    audit = rig.switch.connections.audit
+    has_untold_calls = audit.has_untold_calls
+
+    def look(server: ServerState) -> bool:
+        looks.append(server.host)
+        return has_untold_calls(server)
+
+    monkeypatch.setattr(audit, "has_untold_calls", look)
+    wait_for(lambda: len(looks) >= 3)
+    assert counter(rig, "audit_dials") == 0
+
+
+def test_a_server_has_four_connections_at_most(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, kept: list[Peer]
+) -> None:
+    """Guards against descriptors used up by audits: the oldest connection that is only read makes room."""
+    set_interval(monkeypatch, 20 * MS)
+    rig, server, server_peer, caller = connected
+    set_up_call(rig, server_peer, caller)
+    kept.append(lose_connection(rig, server))
+    counts: list[int] = []
+    assert rig.switch is not None
+    monkeypatch.setattr(
+        rig.switch.connections.audit, "link_opened", lambda state: counts.append(state.count_links())
+    )
+    for _ in range(8):
+        kept.append(server.accept())
+    wait_for(lambda: len(counts) >= 7)
+    assert max(counts) == server_connections.MAX_LINKS
+
+
+def test_calls_inherited_while_a_connection_is_dead_are_audited(connected: ConnectedRig) -> None:
+    """Guards against calls lost over an upgrade: their servers may use any open connection."""
+    rig, server, _, caller = connected
+    new_peer = lose_connection(rig, server)
+    set_up_call(rig, new_peer, caller)
+    assert rig.switch is not None
+    rig.switch.shared.inbox.put(HandoverReceived(handover.encode({0xBEEF: "s-1"}, [])))
+    audit_peer = server.accept()
+    audit_peer.send(Release(0xBEEF, Reason.CLEARED))
+    assert caller.receive(Release, 0xBEEF).reason is Reason.CLEARED
+
+
+def test_silent_servers_are_audited_beside_one_another(rig: Rig, kept: list[Peer]) -> None:
+    """Guards against a server that is never audited while another one is."""
+    servers = [Server(), Server()]
+    rig.open(*(list_line(server, f"s-{n}", n) for n, server in enumerate(servers)))
+    peers = [server.accept() for server in servers]
+    caller = rig.caller()
+    calls: list[int] = []
+    for number, peer in enumerate(peers):
+        rig.serial += 1
+        caller.send(SetUp(rig.serial, "voice", 5000, "7f3a9c21e0b4d655", b"offer", first_choice=number))
+        peer.receive(SetUp, rig.serial)
+        peer.send(Answer(rig.serial, b"accept"))
+        caller.receive(Answer, rig.serial)
+        calls.append(rig.serial)
+    assert rig.switch is not None
+    shared = rig.switch.shared
+    for server, host in zip(servers, ("s-0", "s-1"), strict=True):
+        links.dial(server.dial, 500_000, shared.inbox, shared.servers[host], rig.switch.connections.reader)
+        server.accept()
+    for server, call in zip(servers, calls, strict=True):
+        audit_peer = server.accept()
+        audit_peer.send(Release(call, Reason.CLEARED))
+        assert caller.receive(Release, call).reason is Reason.CLEARED
--- /dev/null
+++ b/wickstep/net/call_audit.py
@@ -0,0 +1,98 @@
+"""The audit of calls that stand at a server which may be writing their releases into a dead connection.
+
+A connection that dies without a sign stays open for its server. The server goes on writing the releases of
+calls there, and repeats them only on the next connection that is opened. So while such calls stand, further
+connections are opened, spaced and bounded; each tells what has ended before it. This file owns which servers
+are audited. When they are is decided by `audit_schedule`. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from wickstep.net.audit_schedule import AuditSchedule
+from wickstep.net.state import Server, SharedState, log
+from wickstep.net.units import MS, SECOND
+
+# How long the connection of an audit is kept: the server sends its state first, then the releases.
+AUDIT_LINK_TIME = SECOND
+MIN_LOOK_INTERVAL = 50 * MS  # between two looks at the schedule while all permitted connections are open
+DESCRIPTOR_DIVISOR = 16  # audits use the number of descriptors divided by this at most
+MIN_PARALLEL = 4
+
+
+class CallAudit:
+    """Decides at which servers calls may have ended untold, and has further connections opened there."""
+
+    open_link: Callable[
+        [Server], None
+    ]  # opens a further connection to a server, unless one is dialled already
+
+    def __init__(self, shared: SharedState) -> None:
+        self.shared = shared
+        max_parallel = max(shared.config.sockets // DESCRIPTOR_DIVISOR, MIN_PARALLEL)
+        self.schedule = AuditSchedule(random.Random(shared.config.seed ^ 0xA0D17), max_parallel)
+        self._scheduled_for = 0  # when `run` is called next, if that is still to come
+
+    def suspect(self, host: str) -> None:
+        """A connection to this server was replaced or has ended, and the server may not know."""
+        self.schedule.add(host, self.shared.now)
+        self._schedule_run()
+
+    def link_lost(self, host: str) -> None:
+        """A connection to this server has ended, and its server has not shown that it knows."""
+        self.shared.hosts_with_lost_links.add(host)
+        self.suspect(host)
+
+    def process_ended(self, host: str) -> None:
+        """The process of this server has ended, and its connections with it."""
+        self.shared.hosts_with_lost_links.discard(host)
+        self.schedule.remove(host)
+
+    def link_opened(self, server: Server) -> None:
+        """A connection was opened, for whatever reason: the server tells there what has ended."""
+        self.schedule.told(server.host, self.shared.now)
+
+    def dial_failed(self, server: Server) -> None:
+        self.schedule.dial_failed(server.host, self.shared.now)
+        self._schedule_run()
+
+    def has_untold_calls(self, server: Server) -> bool:
+        """Whether calls stand here whose release may go to a connection that is dead.
+
+        It goes to the connection of the call's set-up. Once that one is closed it goes to any that the server
+        takes for open, which may be the dead one.
+        """
+        if self.shared.inherited_calls.count_at(server.host):
+            return True
+        return any(a.stands and a.link is not server.link for a in server.attempts.values())
+
+    def run(self) -> None:
+        """Open the connections that are due."""
+        shared = self.shared
+        running = sum(server.dials_for_audit + len(server.audit_links) for server in shared.servers.values())
+        for host in self.schedule.take_due(shared.now, running):
+            server = shared.servers.get(host)
+            if server is None or not self._may_hold_dead_link(server):
+                self.schedule.remove(host)
+            elif self.has_untold_calls(server):
+                log.info("%s: opening a further connection to hear which calls have ended", host)
+                self.open_link(server)
+            else:
+                self.schedule.told(host, shared.now)
+        self._schedule_run()
+
+    def _may_hold_dead_link(self, server: Server) -> bool:
+        return server.host in self.shared.hosts_with_lost_links or bool(
+            server.replaced_links or server.lingering_links
+        )
+
+    def _schedule_run(self) -> None:
+        due = self.schedule.next_due()
+        if due is None:
+            return
+        due = max(due, self.shared.now + MIN_LOOK_INTERVAL)
+        if not self.shared.now < self._scheduled_for <= due:
+            self._scheduled_for = due
+            self.shared.schedule(due, self.run)
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -20,6 +20,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from enum import Enum
 from queue import SimpleQueue
 from typing import Any, Protocol
 
@@ -38,6 +39,7 @@
 READ_SIZE = 16 * 1024  # bytes of one receive
 CALLER_READ_SIZE = 4 * 1024  # less for a caller: hundreds may hold a full read while their readers wait
 LISTEN_BACKLOG = 256
+RESET_ERRORS = (errno.ECONNRESET, errno.EPIPE)  # the peer knows of the end; after a time-out it may not
 BIND_TIMEOUT_S = 3.0  # how long an address that is still in use is tried again
 FIRST_BYTE_TIMEOUT_MS = 2000  # for a caller's first byte after the connect: hundreds never send any
 MESSAGE_TIMEOUT_MS = 2200  # for a caller's message from its first byte to its last: some callers take 2 s
@@ -105,10 +107,19 @@
     link: Link
 
 
+class LinkEnd(Enum):
+    """How a connection has ended, by what its peer knows of it."""
+
+    CLOSED = "closed by its peer"  # in order, after all that the peer had written
+    BROKEN = "reset, or closed over what came on it"  # the peer knows, and may not have read all
+    UNNOTICED = "given up on this side"  # the peer may take it for open, and go on writing into it
+
+
 @dataclass(slots=True, frozen=True)
 class Closed:
     link: Link
     malformed: bool = False
+    end: LinkEnd = LinkEnd.BROKEN
 
 
 @dataclass(slots=True, frozen=True)
@@ -163,6 +174,7 @@
         self.has_spoken = False  # set by the loop: whether there was a message
         self.probed_at = 0  # set by the loop: when it last sent a probe here
         self.has_answered = False  # set by the loop: whether a set-up or a probe was answered here
+        self.process_ended = False  # set by the loop: so has the process at the other end
         self.closed = False  # set by the loop; the threads see a close by their socket
         self.calls: dict[int, Any] = {}  # of the loop: calls that wait for an answer here
         self.unconfirmed: dict[int, Release] = {}  # of the loop: releases sent here, not yet confirmed
@@ -178,6 +190,8 @@
         self._has_writer = False  # a writer thread is running
         self._output_closed = False  # nothing may be added; what is queued is still written
         self._keep_reading = False  # after our side has ended, until the peer ends too
+        self.is_half_closed = False  # our side ended first, and the peer's was still read
+        self.end = LinkEnd.UNNOTICED  # how the connection ended; set by its reader
         self._receive_timeout_ms = 0  # as the socket has it now
         self._thread_count = 1  # threads that use the socket
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -207,7 +221,8 @@
                         data, set_up = data[sent:], 0
                 except BlockingIOError:
                     pass  # the peer does not read: a writer thread waits for it
-                except OSError:
+                except OSError as exc:
+                    self._note_end(exc)
                     self.close()  # the reader reports the end, which ends the attempts on this connection
                 if not data or self._output_closed:
                     return True
@@ -299,6 +314,7 @@
         self._shut_down()
 
     def _shut_down(self) -> None:
+        self.is_half_closed = self.is_half_closed or self._keep_reading
         with contextlib.suppress(OSError):
             # With SHUT_RDWR the kernel answers later input with a reset.
             self.sock.shutdown(socket.SHUT_WR if self._keep_reading else socket.SHUT_RDWR)
@@ -316,6 +332,7 @@
                 self._has_uncounted_data = True
                 self._set_receive_timeout(self._process_data(self.sock.recv(self.read_size)))
                 self._has_uncounted_data = False
+            self._note_end()
         except BlockingIOError:
             malformed = self._complete_by > 0
             log.info(
@@ -327,8 +344,8 @@
         except MalformedMessage as exc:
             log.warning("closing a caller's connection: %s", exc)
             malformed = True
-        except OSError:
-            pass  # reset: the same as closed
+        except OSError as exc:
+            self._note_end(exc)
         self._end_connection(malformed)
 
     def read_available(self) -> bool:
@@ -338,13 +355,15 @@
             if data := self.sock.recv(self.read_size, socket.MSG_DONTWAIT):
                 self._process_data(data)
                 return True
+            self._note_end()
         except BlockingIOError:
             return True
         except MalformedMessage as exc:
             log.warning("closing a server's connection: %s", exc)
             malformed = True
-        except OSError:
-            pass
+            self.end = LinkEnd.BROKEN
+        except OSError as exc:
+            self._note_end(exc)
         self._end_connection(malformed)
         return False
 
@@ -384,10 +403,19 @@
             raise MalformedMessage("message not complete within its time-out, though more of it came")
         return max(self._complete_by - now, 1) if self._complete_by else 0
 
+    def _note_end(self, error: OSError | None = None) -> None:
+        """Note how the connection has ended: the reader has found its end, or this error."""
+        with self._lock:
+            is_given_up = self._output_closed and not self._keep_reading
+        if error is not None and error.errno in RESET_ERRORS:
+            self.end = LinkEnd.BROKEN
+        elif error is None and not is_given_up and self.end is not LinkEnd.BROKEN:
+            self.end = LinkEnd.CLOSED
+
     def _end_connection(self, malformed: bool) -> None:
         self.close()
         self._release_socket()
-        self.inbox.put(Closed(self, malformed))
+        self.inbox.put(Closed(self, malformed, self.end))
 
     def _enqueue(self, message: Message, size: int) -> None:
         """Put a message into the inbox, once enough of this connection's shares are free.
@@ -421,7 +449,8 @@
                 _, data = self._outbox.popleft()  # one at a time: what is still queued can be withdrawn
             try:
                 self.sock.sendall(data)
-            except OSError:
+            except OSError as exc:
+                self._note_end(exc)
                 self.close(self._keep_reading)  # clears the outbox too
             with self._lock:
                 self._outbox_bytes -= len(data)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -14,7 +14,8 @@
 
 from wickstep.interface import Outcome, ServerState
 from wickstep.net import links
-from wickstep.net.links import DialFailed, Link
+from wickstep.net.call_audit import AUDIT_LINK_TIME, CallAudit
+from wickstep.net.links import DialFailed, Link, LinkEnd
 from wickstep.net.probes import Probes
 from wickstep.net.state import MIN_REDIAL_DELAY, Attempt, Server, SharedState
 from wickstep.net.units import MS, SECOND
@@ -50,15 +51,29 @@
     attempts: Attempts
     on_first_link: Callable[[Server, Link], None]  # called when a server is connected for the first time
 
-    def __init__(self, shared: SharedState, probes: Probes) -> None:
-        self.shared, self.probes = shared, probes
+    def __init__(self, shared: SharedState, probes: Probes, audit: CallAudit) -> None:
+        self.shared, self.probes, self.audit = shared, probes, audit
+        audit.open_link = self.connect_for_audit
         self.reader = links.Reader()
         self.next_watch_at = 0
         self.random = random.Random(shared.config.seed ^ 0xD1A1)
 
     def connect(self, server: Server, additional: bool = False) -> None:
-        needed = additional or server.link is None
-        if needed and not server.dialing and server.state is not ServerState.GONE:
+        """Open a connection to a server that has none or, if `additional`, one that replaces it."""
+        if additional or server.link is None:
+            server.dials_for_audit = False  # an audit's connection that is being dialled serves as well
+            self._dial(server)
+
+    def connect_for_audit(self, server: Server) -> None:
+        """Open a further connection, which replaces none: there the server tells which calls have ended."""
+        if server.link is not None and not server.dialing:
+            self._make_room(server, MAX_LINKS - 1)
+            server.dials_for_audit = True
+            self.shared.counters["audit_dials"] += 1
+        self._dial(server)
+
+    def _dial(self, server: Server) -> None:
+        if not server.dialing and server.state is not ServerState.GONE:
             server.dialing = True
             self.shared.counters["dials"] += 1
             links.dial(
@@ -79,13 +94,19 @@
         self.connect(server)
 
     def on_link_opened(self, link: Link, server: Server) -> None:
-        server.dialing = False
+        is_audit = server.dials_for_audit and server.link is not None
+        server.dialing = server.dials_for_audit = False
         if server.state is ServerState.GONE:
             return link.close()
+        link.heard_at = self.shared.now
+        if is_audit:
+            return self._open_audit_link(link, server)
         if server.link is not None:
             server.replaced_links.append(server.link)
             self.shared.counters["links_replaced"] += 1
-        link.heard_at = self.shared.now
+        self.audit.link_opened(server)
+        if server.replaced_links:
+            self.audit.suspect(server.host)
         if not server.linked_at:
             self.on_first_link(server, link)
         while server.owed_releases:
@@ -99,6 +120,26 @@
             # An answer shows that the server is well and only the old connection is dead.
             self.probes.probe(server, link)
 
+    def _open_audit_link(self, link: Link, server: Server) -> None:
+        """Listen on a further connection for a while. No set-up is sent there, and none is lost with it."""
+        server.audit_links.append(link)
+        self.shared.counters["audit_links"] += 1
+        self.audit.link_opened(server)
+        closes_at = self.shared.now + AUDIT_LINK_TIME
+        self.shared.schedule(closes_at, partial(link.finish, keep_reading=True))
+        self.shared.schedule(closes_at + LINGER_TIME, link.close)
+
+    def _make_room(self, server: Server, max_links: int) -> None:
+        """Close the oldest connections that are only read, until there are no more than `max_links`."""
+        for spare_links in (server.lingering_links, server.audit_links):
+            while spare_links and server.count_links() > max_links:
+                self._give_up(server, spare_links.pop(0))
+
+    def _give_up(self, server: Server, link: Link) -> None:
+        """Close a connection to which the server may still write."""
+        link.close()
+        self.audit.link_lost(server.host)
+
     def retire_replaced_links(self, server: Server) -> None:
         """Close replaced connections with nothing in flight, and the oldest ones if there are too many."""
         links_in_use = {a.link for a in server.attempts.values() if not a.stands}
@@ -108,13 +149,11 @@
             link = server.replaced_links.pop(0)
             if link in links_in_use:
                 link.finish()  # its attempts end when the end of the connection is received
+                self.audit.link_lost(server.host)
             else:
                 link.finish(keep_reading=True)
                 self.linger(server, link)
-        while (
-            server.lingering_links and len(server.replaced_links) + len(server.lingering_links) >= MAX_LINKS
-        ):
-            server.lingering_links.pop(0).close()
+        self._make_room(server, MAX_LINKS)
 
     def linger(self, server: Server, link: Link) -> None:
         """Read a connection closed for writing for a while: releases of its calls may be on the way.
@@ -126,7 +165,8 @@
 
     def on_dial_failed(self, failure: DialFailed) -> None:
         server: Server = failure.owner
-        server.dialing = False
+        server.dialing = server.dials_for_audit = False
+        self.audit.dial_failed(server)
         self.shared.counters["dials_refused" if failure.refused else "dials_failed"] += 1
         self.attempts.fail_waiting(server)
         if server.link is not None:
@@ -138,8 +178,7 @@
             if not failure.refused and self.shared.now - server.link.heard_at > VANISHED_TIMEOUT:
                 # Long silence, and no new connection comes up: the machine is lost, with the calls that stood
                 # there. The bulletin may report it only once it is back, which is too late for the callers.
-                self.shared.counters["servers_vanished"] += 1
-                self.drop_process(server, self.shared.now, "silent, and a new connection failed")
+                self._drop_silent_machine(server)
             return
         server.refusals += failure.refused and server.link_lost
         if server.refusals == DEAD_AFTER_REFUSALS:
@@ -156,14 +195,17 @@
         self.shared.schedule(self.shared.now + server.redial_after, partial(self._connect_scheduled, server))
         server.redial_after = min(2 * server.redial_after, MAX_REDIAL_DELAY)
 
-    def on_link_closed(self, link: Link, server: Server) -> None:
+    def on_link_closed(self, link: Link, server: Server, end: LinkEnd) -> None:
         """End the attempts in flight on a closed connection; calls that stand do not depend on it."""
         if server.link is link:
             server.link, server.link_lost = None, True
-        elif link in server.replaced_links:
-            server.replaced_links.remove(link)
-        elif link in server.lingering_links:
-            server.lingering_links.remove(link)
+        for other_links in (server.replaced_links, server.lingering_links, server.audit_links):
+            if link in other_links:
+                other_links.remove(link)
+        if link.process_ended:
+            end = LinkEnd.BROKEN
+        if end is LinkEnd.UNNOTICED:
+            self.audit.link_lost(server.host)
         self.attempts.end_attempts_on(link, server, Outcome.RESET)
         if server.link is not None:
             return  # it was replaced: nothing is missing, and the backoff must not grow
@@ -259,19 +301,40 @@
         self.attempts.end_attempts_on(link, server, outcome)
 
     def drop_process(self, server: Server, cutoff: int, cause: str) -> None:
-        """End the connections and calls of a server process that served until `cutoff` and is gone.
+        """End the connections and calls of a server process that served until `cutoff` and is gone."""
+        server.owed_releases.clear()
+        for link in self._links_before(server, cutoff):
+            link.process_ended = True
+        self._drop_links(server, cutoff)
+        self.audit.process_ended(server.host)
+        if server.state is ServerState.GONE:
+            self.attempts.fail_waiting(server)
+        self.attempts.cut_calls(server, cutoff, cause)
+
+    def _drop_silent_machine(self, server: Server) -> None:
+        """End the connections and calls of a machine that was cut off: its process may be well."""
+        self.shared.counters["servers_vanished"] += 1
+        self._drop_links(server, self.shared.now)
+        server.owed_releases.clear()
+        self.audit.link_lost(server.host)
+        cause = "silent, and a new connection failed"
+        self.attempts.cut_calls(server, self.shared.now, cause)
+
+    def _drop_links(self, server: Server, cutoff: int) -> None:
+        """Close the connections to a process that served until `cutoff`.
 
-        The connections go first: what the controller sends to the successor when it hears of a cut call must
+        They go before its calls: what the controller sends to the successor when it hears of a cut call must
         not be sent on one of them.
         """
-        stale_links = [*server.replaced_links]
+        for link in self._links_before(server, cutoff):
+            if link not in server.lingering_links:
+                link.close()
+                self.on_link_closed(link, server, LinkEnd.UNNOTICED)
+
+    def _links_before(self, server: Server, cutoff: int) -> list[Link]:
+        """The connections to the process that served until `cutoff`."""
+        stale_links = [*server.replaced_links, *server.lingering_links, *server.audit_links]
         # A connection opened after the new process's start leads to that process already.
         if server.link and (server.state is ServerState.GONE or server.linked_at <= cutoff):
             stale_links.append(server.link)
-        for link in stale_links:
-            link.close()
-            self.on_link_closed(link, server)
-        server.owed_releases.clear()
-        if server.state is ServerState.GONE:
-            self.attempts.fail_waiting(server)
-        self.attempts.cut_calls(server, cutoff, cause)
+        return stale_links
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -40,6 +40,7 @@
 from wickstep.net.admit import AdmitStage
 from wickstep.net.book import BookStage
 from wickstep.net.bulletin import ListUpdate
+from wickstep.net.call_audit import CallAudit
 from wickstep.net.config import Config
 from wickstep.net.links import Closed, DialFailed, Link, Opened, Received
 from wickstep.net.probes import Probes
@@ -103,7 +104,7 @@
         self.book = BookStage(shared)
         self.route = RouteStage(shared)
         self.probes = Probes(shared, self.route)
-        self.connections = ServerConnections(shared, self.probes)
+        self.connections = ServerConnections(shared, self.probes, CallAudit(shared))
         self.send = SendStage(shared, self.route, self.book, self.connections)
         self.relay = RelayStage(shared, self.route, self.send, self.book)
         self.connections.on_first_link = self.relay.unknown_calls.on_first_link
@@ -263,11 +264,11 @@
                 self.shared.caller_links[link] = None
                 if len(self.shared.caller_links) > self.shared.caller_limit:
                     self.take_in.evict_caller_links()
-            case Closed(link=link, malformed=malformed):
+            case Closed(link=link, malformed=malformed, end=end):
                 link.closed = True
                 self.shared.counters["malformed"] += malformed
                 if isinstance(link.owner, Server):
-                    self.connections.on_link_closed(link, link.owner)
+                    self.connections.on_link_closed(link, link.owner, end)
                 else:
                     self.take_in.on_link_closed(link)
             case DialFailed():
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -58,6 +58,17 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: in flight or standing
     # Callers' releases that found no connection: sent on the next one.
     owed_releases: deque[Release] = field(default_factory=lambda: deque(maxlen=MAX_OWED_RELEASES))
+    dials_for_audit: bool = False  # the connection that is being dialled only tells which calls have ended
+    audit_links: list[Link] = field(default_factory=list)  # such connections, until their end
+
+    def count_links(self) -> int:
+        """Connections to it, those included that are only read."""
+        return (
+            (self.link is not None)
+            + len(self.replaced_links)
+            + len(self.lingering_links)
+            + len(self.audit_links)
+        )
 
     def release_call(self, release: Release, set_up_link: Link | None = None) -> None:
         """Send a caller's release of a call that may stand here, now or once a connection is there.
@@ -124,6 +135,8 @@
         self.stop_began_at = 0  # when the process began to stop or to hand over
         self.result_counts = ResultCounts(tuple(config.classes))
         self.inherited_calls = InheritedCalls()
+        # Servers that may take a connection for open which has ended here, by host.
+        self.hosts_with_lost_links: set[str] = set()
         self.recorder = CallRecorder()  # records each call in the journal, if one is kept
 
     def born_ms(self, server: Server) -> int:
--- a/wickstep/operation/handover.py
+++ b/wickstep/operation/handover.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -61,6 +61,7 @@
 
     def __init__(self) -> None:
         self._calls: OrderedDict[int, str] = OrderedDict()  # the server's host, by call; the oldest first
+        self._counts: Counter[str] = Counter()  # calls by the server's host
         self.on_taken: Callable[[int], None] = lambda call: None  # the call was removed by `take`
 
     def __len__(self) -> int:
@@ -71,12 +72,20 @@
 
     def add(self, standing: Mapping[int, str]) -> int:
         """Add calls by their servers' hosts; how many of the oldest were forgotten for want of room."""
-        self._calls.update(standing)
+        for call, host in standing.items():
+            self._counts[host] += 1
+            if call in self._calls:
+                self._count_down(self._calls[call])
+            self._calls[call] = host
         excess = max(len(self._calls) - MAX_INHERITED_CALLS, 0)
         for _ in range(excess):
-            self._calls.popitem(last=False)
+            self._count_down(self._calls.popitem(last=False)[1])
         return excess
 
+    def count_at(self, host: str) -> int:
+        """How many of the calls are established at a server."""
+        return self._counts[host]
+
     def hosts_by_call(self) -> dict[int, str]:
         return dict(self._calls)
 
@@ -84,6 +93,7 @@
         """Remove a call; its server's host, or None if it is not in the table."""
         host = self._calls.pop(call, None)
         if host is not None:
+            self._count_down(host)
             self.on_taken(call)
         return host
 
@@ -93,3 +103,8 @@
         for call in calls:
             self.take(call)
         return calls
+
+    def _count_down(self, host: str) -> None:
+        self._counts[host] -= 1
+        if not self._counts[host]:
+            del self._counts[host]
