Rehearse connections to servers that die without a sign while their machines stay

The fault "silence" lets nothing more pass on the present connections, nor their ends; new ones pass.

--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -36,6 +36,14 @@
     return [violation.rule for violation in judge.find_violations(Trace(list(events)), duration_s=30.0)]
 
 
+@pytest.mark.parametrize(("detail", "rules"), [("untold", []), ("", ["release"])])
+def test_a_release_lost_on_a_dead_connection_has_the_longer_limit(detail: str, rules: list[str]) -> None:
+    end = Event(2.0, EventKind.CALL_ENDED, 0, 7, "a", detail)
+    released = Event(9.5, EventKind.RELEASE_RECEIVED, 0, 7)
+    assert violated(SENT, STARTED, ACCEPTED, ANSWERED, end, released) == rules
+    assert violated(SENT, STARTED, ACCEPTED, ANSWERED, end) == ["release"]
+
+
 def started(at: float, server: str = "b") -> Event:
     return Event(at, EventKind.ATTEMPT_STARTED, 0, 7, server, value=50.0)
 
@@ -278,6 +286,12 @@
     assert (found["breaches"], found["crashes"]) == ([], [])
 
 
+def test_calls_on_connections_that_die_without_a_sign_are_released(tmp_path: Path) -> None:
+    """Guards against callers that hold a dead call: those whose server tells its end on a dead connection."""
+    found = run_file(EXAMPLES / "silent.kdl", tmp_path / "report.json", timeout_s=120)
+    assert (found["breaches"], found["crashes"]) == ([], [])
+
+
 def test_the_command_prints_and_writes_the_report_and_exits_by_it(tmp_path: Path) -> None:
     script, report_path = tmp_path / "s.kdl", tmp_path / "told.json"
     script.write_text('rehearsal "tiny" softswitches=1 lasts-s=1 { servers 1; callers rate=20 wait-s=0.5; }')
--- a/wickstep/rehearsal/relay.py
+++ b/wickstep/rehearsal/relay.py
@@ -78,6 +78,7 @@
         self._delayed: deque[tuple[float, bool, bytes]] = deque()  # arrival, whether inbound, bytes
         self._send_buffer = bytearray()
         self._has_dropped = False  # bytes are missing: the connection is reset once the fault ends
+        self.is_silent = False
         self.closed = False
         network.connections.add(self)
         loop.register(sock, self._on_readable)
@@ -103,6 +104,10 @@
             self.close()
             self._on_end()
 
+    def silence(self) -> None:
+        """Let nothing more pass on this connection, for good, nor its end: both ends take it for open."""
+        self.is_silent = True
+
     def on_condition(self, condition: LinkCondition) -> None:
         """Apply the new condition of the link to this connection."""
         if condition.mode is LinkMode.RESET or (condition.mode is LinkMode.FORWARD and self._has_dropped):
@@ -113,6 +118,8 @@
                 self._deliver(data, inbound, at)
 
     def _forward(self, data: bytes, inbound: bool) -> None:
+        if self.is_silent:
+            return
         condition = self.network.condition_of(*self.key)
         if condition.mode is LinkMode.DROP or (condition.mode is LinkMode.DROP_INBOUND and inbound):
             self._has_dropped = True
@@ -148,6 +155,8 @@
             data = b""
         if data:
             self._forward(data, inbound=True)
+        elif self.is_silent:
+            self.loop.unregister(self.sock)  # the stand-in is not told, and goes on writing
         elif not self.closed:
             self.close()
             self._on_end()
--- a/wickstep/rehearsal/scenario.py
+++ b/wickstep/rehearsal/scenario.py
@@ -15,7 +15,8 @@
 MAX_DELAY_S = 7 * 86400.0  # of a fault; age-state makes a stored file older by its delay
 MAX_DURATION_S = 120.0
 FAULT_KINDS = (
-    "kill", "stall", "cut", "delay", "reset", "half-open", "replace", "drain", "lose-state", "age-state",
+    "kill", "stall", "cut", "delay", "reset", "half-open", "silence", "replace", "drain", "lose-state",
+    "age-state",
 )  # fmt: skip
 
 
