Judge a call's release by its end at the server whose answer its caller was given

The judge took the first CALL_ENDED, that of the call which nobody waited for at the first server, and measured the release from there (10.5 s; it came 1.4 s after the call's end). The check stays: the end counts at the server that gave the answer. The new test failed without it, and shows that a release which is late by that end is found.

That such a call stands at the first server until its end is a fault of the program: the release of its attempt is lost with the connection.

--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -36,6 +36,21 @@
     return [violation.rule for violation in judge.find_violations(Trace(list(events)), duration_s=30.0)]
 
 
+@pytest.mark.parametrize(("released", "rules"), [(6.1, []), (15.0, ["release"])])
+def test_a_call_ends_at_the_server_whose_answer_its_caller_was_given(
+    released: float, rules: list[str]
+) -> None:
+    """Its first answer was lost on a dead connection: the end at that server concerns nobody."""
+    lost = (SENT, STARTED, ended(1.15, "cut"), ended(1.16, "stands"))
+    given = (
+        started(1.4),
+        ended(1.5, "stands", "b"),
+        Event(1.51, EventKind.FINAL_ANSWER, 0, 7, detail="stands"),
+    )
+    ends = (Event(2.0, EventKind.CALL_ENDED, 0, 7, "a"), Event(6.0, EventKind.CALL_ENDED, 0, 7, "b"))
+    assert violated(*lost, *given, *ends, Event(released, EventKind.RELEASE_RECEIVED, 0, 7)) == rules
+
+
 @pytest.mark.parametrize(("detail", "rules"), [("untold", []), ("", ["release"])])
 def test_a_release_lost_on_a_dead_connection_has_the_longer_limit(detail: str, rules: list[str]) -> None:
     end = Event(2.0, EventKind.CALL_ENDED, 0, 7, "a", detail)
--- a/wickstep/rehearsal/judge.py
+++ b/wickstep/rehearsal/judge.py
@@ -165,10 +165,14 @@
 
     def check_releases(self) -> Iterator[Violation]:
         for call, events in self.by_call.items():
-            ended = next((event for event in events if event.kind is EventKind.CALL_ENDED), None)
             answered = next(
                 (e for e in events if e.kind is EventKind.FINAL_ANSWER and e.detail == "stands"), None
             )
+            server = find_answering_server(events, answered) if answered is not None else ""
+            ended = next(
+                (event for event in events if event.kind is EventKind.CALL_ENDED and event.server == server),
+                None,
+            )
             released = next((event for event in events if event.kind is EventKind.RELEASE_RECEIVED), None)
             if ended is None or answered is None:
                 continue
@@ -186,3 +190,18 @@
             if took > limit + ANSWER_TOLERANCE_S:
                 text = f"{call:x}: its caller was released {took:.1f} s after its end"
                 yield Violation(ended.at + limit, "release", text)
+
+
+def find_answering_server(events: list[Event], answered: Event) -> str:
+    """The server whose answer the caller was given: the last at which the call stood by then.
+
+    An answer that was lost on a dead connection leaves a call at another one, which nobody waits for.
+    """
+    return next(
+        (
+            event.server
+            for event in reversed(events)
+            if event.kind is EventKind.ATTEMPT_ENDED and event.detail == "stands" and event.at <= answered.at
+        ),
+        "",
+    )
