Keep a caller's hang-up until its server has received it

What callers saw: nothing; the call went on at its server to its end and held a line for nobody.

Cause: release_call wrote a hang-up to the present connection, and kept it only where none took it. A connection that died without a sign takes everything. With its last call the connection was not looked at any more either, so it was not even replaced (watch: only servers with attempts).

Evidence: with a connection that nobody reads or ends, the one that replaces it never carries the release. Ruled out: a later copy; nothing was kept that could be sent.

Change: net/server_releases.py keeps a release until the server has confirmed it, has answered a set-up sent later on that connection, or has ended the connection after this side had. CallRecovery's releases are tracked too.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -8,7 +8,17 @@
 
 import pytest
 
-from wickstep.net import Answer, Reason, Release, SetUp, audit_schedule, links, server_connections
+from wickstep.net import (
+    Answer,
+    Reason,
+    Release,
+    ReleaseComplete,
+    SetUp,
+    audit_schedule,
+    links,
+    server_connections,
+    server_releases,
+)
 from wickstep.net.state import Server as ServerState
 from wickstep.net.units import MS, SECOND
 from wickstep.operation import handover
@@ -213,3 +223,55 @@
         audit_peer = server.accept()
         audit_peer.send(Release(call, Reason.CLEARED))
         assert caller.receive(Release, call).reason is Reason.CLEARED
+
+
+@pytest.mark.parametrize("replaced", ["before the hang-up", "after it"])
+def test_a_callers_hang_up_reaches_the_server_though_its_connection_is_dead(
+    connected: ConnectedRig, kept: list[Peer], replaced: str
+) -> None:
+    """Guards against calls that go on at their server after the caller has hung up."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    kept.append(server_peer)
+    if replaced == "before the hang-up":
+        new_peer = lose_connection(rig, server)
+    caller.send(Release(call, Reason.CLEARED))
+    caller.receive(ReleaseComplete, call)  # the loop has passed it on
+    if replaced != "before the hang-up":
+        new_peer = lose_connection(rig, server)
+    assert new_peer.receive(Release, call).reason is Reason.CLEARED
+
+
+def test_a_connection_is_watched_while_a_hang_up_is_not_confirmed(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a hang-up lost for good: nothing else is in flight that would show the silence."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    caller.send(Release(call, Reason.CLEARED))
+    caller.receive(ReleaseComplete, call)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 100 * MS)
+    new_peer = server.accept()
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
+    assert new_peer.receive(Release, call).reason is Reason.CLEARED
+    assert rig.switch is not None
+    new_peer.send(ReleaseComplete(call))
+    releases = rig.switch.shared.servers["s-1"].releases
+    wait_for(lambda: not releases)
+
+
+def test_a_hang_up_into_a_connection_that_is_dead_in_one_direction_is_sent_on_another(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a server that is heard and hears nothing: no silence shows it."""
+    rig, server, server_peer, caller = connected
+    monkeypatch.setattr(server_releases, "CONFIRM_TIMEOUT", 100 * MS)
+    calls = [set_up_call(rig, server_peer, caller) for _ in range(2)]
+    caller.send(Release(calls[0], Reason.CLEARED))
+    server_peer.receive(Release, calls[0])
+    server_peer.send(ReleaseComplete(calls[0]))  # this server confirms releases
+    assert rig.switch is not None
+    releases = rig.switch.shared.servers["s-1"].releases
+    wait_for(lambda: not releases)
+    caller.send(Release(calls[1], Reason.CLEARED))
+    assert server.accept().receive(Release, calls[1]).reason is Reason.CLEARED
--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -49,6 +49,7 @@
         if not self.book.send_final_answer(call, message, "stands"):
             return
         self.shared.standing[call.call_id] = attempt
+        server.releases.confirm_before(link, attempt.sent_at)
         delay = self.shared.now - attempt.sent_at
         log.info("%016x #%d stands at %s after %d us", call.call_id, attempt.index, server.host, delay)
         server.smoothed_delay += (delay - server.smoothed_delay) // 8
@@ -108,7 +109,7 @@
         self.shared.recorder.call_ended(message.call)
         self.book.record_ended_call(message.call)
         self.shared.counters["calls_hung_up"] += 1
-        attempt.server.release_call(Release(message.call, message.reason), attempt.link)
+        attempt.server.release_call(Release(message.call, message.reason), self.shared.now, attempt.link)
         self.route.report_end(attempt, Outcome.CANCELLED, True)
         return True
 
@@ -118,4 +119,4 @@
         self.shared.recorder.call_ended(message.call)
         server = self.shared.servers.get(host)
         if server is not None:
-            server.release_call(Release(message.call, message.reason))
+            server.release_call(Release(message.call, message.reason), self.shared.now)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -107,10 +107,9 @@
         self.audit.link_opened(server)
         if server.replaced_links:
             self.audit.suspect(server.host)
+        server.releases.link_opened(link, self.shared.now)
         if not server.linked_at:
             self.on_first_link(server, link)
-        while server.owed_releases:
-            link.send(server.owed_releases.popleft())
         server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
         waiting, server.waiting = server.waiting, []
         for attempt in waiting:
@@ -206,6 +205,8 @@
             end = LinkEnd.BROKEN
         if end is LinkEnd.UNNOTICED:
             self.audit.link_lost(server.host)
+        was_read = end is LinkEnd.CLOSED and link.is_half_closed
+        server.releases.link_ended(link, was_read, server.link, self.shared.now)
         self.attempts.end_attempts_on(link, server, Outcome.RESET)
         if server.link is not None:
             return  # it was replaced: nothing is missing, and the backoff must not grow
@@ -230,10 +231,14 @@
             idle = idle and not oldest_sent and not server.replaced_links
             for link in [*server.replaced_links]:
                 self.check_replaced_link(server, link, now - max(link.heard_at, oldest_sent.get(link, now)))
-            if server.link is not None and server.attempts:
+            if server.link is not None and self._is_watched(server):
                 self.check_current_link(server, server.link, oldest_sent.get(server.link, now))
         self.schedule_watch(now + (IDLE_WATCH_INTERVAL if idle else WATCH_INTERVAL))
 
+    def _is_watched(self, server: Server) -> bool:
+        """Whether a dead connection to this server would cost anything."""
+        return bool(server.attempts or server.releases)
+
     def watch_soon(self) -> None:
         """A set-up is in flight: check its connection soon."""
         self.schedule_watch(self.shared.now + WATCH_INTERVAL)
@@ -270,9 +275,10 @@
             server.smoothed_delay, MIN_PROBE_AFTER
         )
         is_silent = silence > self.shared.min_aim // 2 or now - link.heard_at > SILENCE_TIMEOUT
-        if (
-            is_silent or (probe_unanswered and silence > probe_after)
-        ) and now >= server.additional_dial_after:
+        is_dead = is_silent or (probe_unanswered and silence > probe_after)
+        # Of a connection that is dead in one direction alone.
+        is_dead = is_dead or server.releases.is_overdue(link, now)
+        if is_dead and now >= server.additional_dial_after:
             self.connect(server, additional=True)
 
     def check_replaced_link(self, server: Server, link: Link, silence: int) -> None:
@@ -302,7 +308,7 @@
 
     def drop_process(self, server: Server, cutoff: int, cause: str) -> None:
         """End the connections and calls of a server process that served until `cutoff` and is gone."""
-        server.owed_releases.clear()
+        server.releases.clear()
         for link in self._links_before(server, cutoff):
             link.process_ended = True
         self._drop_links(server, cutoff)
@@ -315,7 +321,6 @@
         """End the connections and calls of a machine that was cut off: its process may be well."""
         self.shared.counters["servers_vanished"] += 1
         self._drop_links(server, self.shared.now)
-        server.owed_releases.clear()
         self.audit.link_lost(server.host)
         cause = "silent, and a new connection failed"
         self.attempts.cut_calls(server, self.shared.now, cause)
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -48,6 +48,7 @@
 from wickstep.net.route import RouteStage
 from wickstep.net.send import SendStage
 from wickstep.net.server_connections import ServerConnections
+from wickstep.net.server_releases import ServerReleases
 from wickstep.net.state import Call, Server, SharedState, log
 from wickstep.net.take_in import TakeInStage
 from wickstep.net.units import MS, NS_PER_US, SECOND
@@ -308,6 +309,8 @@
                 self.relay.relay_answer(server, link, message)
             case Release():
                 self.relay.relay_release(server, link, message)
+            case ReleaseComplete():
+                server.releases.confirm(message.call)
             case TestResult(call=probe_id, passed=False):
                 # Rejected: a processor probed by hundreds answers so at once, ahead of its queue, which says
                 # nothing of what waits there.
@@ -342,6 +345,7 @@
                     entry.state,
                     started_at,
                     smoothed_delay=shared.min_aim // 4,
+                    releases=ServerReleases(shared.counters),
                 )
             elif started_at > server.started_at:
                 ended_processes.append((server, started_at))
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -9,7 +9,7 @@
 import itertools
 import logging
 import time
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from queue import SimpleQueue
@@ -18,6 +18,7 @@
 from wickstep.net import Release, SetUp, links
 from wickstep.net.config import Config
 from wickstep.net.links import Link
+from wickstep.net.server_releases import ServerReleases
 from wickstep.net.units import MS, NS_PER_US
 from wickstep.operation.handover import InheritedCalls
 from wickstep.operation.metrics import ResultCounts
@@ -26,7 +27,6 @@
 
 log = logging.getLogger("wickstep.net.softswitch")  # of all stages: `wickstep spread` reads its lines
 
-MAX_OWED_RELEASES = 1000  # to one server
 MIN_REDIAL_DELAY = 250 * MS  # between two connects to one server; doubled by each that fails
 
 
@@ -56,8 +56,7 @@
     lingering_links: list[Link] = field(default_factory=list)  # closed for writing and still read
     waiting: list[Attempt] = field(default_factory=list)  # attempts waiting for a connection
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: in flight or standing
-    # Callers' releases that found no connection: sent on the next one.
-    owed_releases: deque[Release] = field(default_factory=lambda: deque(maxlen=MAX_OWED_RELEASES))
+    releases: ServerReleases = field(default_factory=ServerReleases)  # that it may not have received
     dials_for_audit: bool = False  # the connection that is being dialled only tells which calls have ended
     audit_links: list[Link] = field(default_factory=list)  # such connections, until their end
 
@@ -70,13 +69,12 @@
             + len(self.audit_links)
         )
 
-    def release_call(self, release: Release, set_up_link: Link | None = None) -> None:
+    def release_call(self, release: Release, now: int, set_up_link: Link | None = None) -> None:
         """Send a caller's release of a call that may stand here, now or once a connection is there.
 
         `set_up_link` is the connection of the call's set-up, if it is known: it may outlive its successor.
         """
-        if not any(link is not None and link.send(release) for link in (self.link, set_up_link)):
-            self.owed_releases.append(release)
+        self.releases.send(release, [link for link in (self.link, set_up_link) if link is not None], now)
 
 
 @dataclass(slots=True, eq=False)
--- a/wickstep/net/unknown_calls.py
+++ b/wickstep/net/unknown_calls.py
@@ -58,7 +58,7 @@
         """A server is connected for the first time: it has missed the callers' releases until now."""
         if server.started_at <= self.shared.started_at:  # a later one has no call of before
             for release in self._sent_to_servers:
-                link.send(release)
+                server.releases.send(release, [link], self.shared.now)
 
     def pass_on(self) -> None:
         """Pass on what may be passed on now, and come back later for the rest."""
@@ -81,7 +81,7 @@
         self._sent_to_servers.append(release)
         for server in self.shared.servers.values():
             if server.linked_at:  # the others get it with the rest, once they are connected
-                server.release_call(release)
+                server.release_call(release, self.shared.now)
 
     def _schedule_next(self) -> None:
         now = self.shared.now
--- a/wickstep/recovery/call_recovery.py
+++ b/wickstep/recovery/call_recovery.py
@@ -115,10 +115,8 @@
         """Send the releases due to connected servers; a server without the call ignores its release."""
         for host in [*self.pending_releases]:
             server = self.shared.servers.get(host)
-            if server is None or (
-                server.link is not None
-                and all(
-                    server.link.send(Release(call, Reason.CLEARED)) for call in self.pending_releases[host]
-                )
-            ):
-                del self.pending_releases[host]
+            if server is not None and server.link is None:
+                continue
+            for call in self.pending_releases.pop(host):
+                if server is not None:
+                    server.release_call(Release(call, Reason.CLEARED), self.shared.now)
