Release attempts at their server though their connection died without a sign

What callers saw: nothing at first. A call whose answer was lost on a dead connection stood at that server, for nobody, beside the one that its caller was given.

Cause: stop_attempt wrote the release into the connection of the set-up, once; break_off gave a connection up with its attempts and told the server nothing, which sees no close; calls that were cut since their machine was cut off were released towards their callers alone.

Ruled out: a second set-up at the first server.

Change: the three go through the releases that are kept until the server has received them. The release of an attempt goes to the connection of its set-up first, and ahead of the next set-up of that call at that server, on one connection; then it is forgotten.

--- a/tests/test_server_releases.py
+++ b/tests/test_server_releases.py
@@ -77,6 +77,15 @@
     assert successor.calls == [1]
 
 
+def test_the_next_attempt_of_a_call_comes_after_its_release_and_is_never_released_by_it() -> None:
+    releases, dead, link = ServerReleases(), make_link(), make_link()
+    releases.send(release(1), [dead], 0)
+    releases.precede_set_up(1, make_link(is_open=False), 1)
+    releases.precede_set_up(1, link, 2)
+    releases.link_ended(dead, False, link, 3)
+    assert link.calls == [1]
+
+
 def test_a_release_is_sent_a_limited_number_of_times() -> None:
     """Some servers never confirm: each new connection must not bring all releases since the start."""
     releases, links = ServerReleases(), [make_link() for _ in range(MAX_SENDS + 2)]
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -29,6 +29,7 @@
     Peer,
     Rig,
     Server,
+    break_off_at_next_check,
     connected,
     list_line,
     replace_connection,
@@ -275,3 +276,57 @@
     wait_for(lambda: not releases)
     caller.send(Release(calls[1], Reason.CLEARED))
     assert server.accept().receive(Release, calls[1]).reason is Reason.CLEARED
+
+
+def test_a_stopped_attempt_is_released_at_its_server_though_its_connection_is_dead(
+    connected: ConnectedRig, kept: list[Peer]
+) -> None:
+    """Guards against a call that stands for nobody: its answer and the release of its attempt were lost."""
+    rig, server, server_peer, caller = connected
+    call = rig.call(caller)
+    server_peer.receive(SetUp, call)
+    kept.append(server_peer)
+    caller.send(Release(call, Reason.CLEARED))
+    new_peer = lose_connection(rig, server)
+    assert new_peer.receive(Release, call).reason is Reason.CLEARED
+
+
+def test_the_release_of_an_attempt_precedes_the_next_attempt_at_its_server(
+    connected: ConnectedRig, kept: list[Peer], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a call that stands twice, and against a late release that ends the second attempt."""
+    rig, server, server_peer, caller = connected
+    call = rig.call(caller)
+    server_peer.receive(SetUp, call)
+    kept.append(server_peer)
+    break_off_at_next_check(monkeypatch)
+    new_peer = replace_connection(rig, server)
+    new_peer.receive(Release, call)
+    assert not any(isinstance(message, SetUp) for message in new_peer.received)
+    new_peer.receive(SetUp, call)
+    new_peer.send(Answer(call, b"accept"))
+    caller.receive(Answer, call)
+    third_peer = replace_connection(rig, server)
+    set_up_call(rig, third_peer, caller)
+    assert not any(isinstance(message, Release) for message in third_peer.received)
+
+
+def test_calls_cut_off_with_their_machine_are_released_when_it_is_back(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, kept: list[Peer]
+) -> None:
+    """Guards against lines held for nobody: the machine was cut off, and its process has kept its calls."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    kept.append(server_peer)
+    dial = links.dial
+
+    def dial_in_vain(address: str, timeout: int, inbox: links.Inbox, owner: ServerState, *_: object) -> None:
+        inbox.put(links.DialFailed(owner, refused=False))
+
+    monkeypatch.setattr(links, "dial", dial_in_vain)
+    monkeypatch.setattr(server_connections, "VANISHED_TIMEOUT", 0)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 0)
+    assert caller.receive(Release, call).reason is Reason.INTERRUPTED
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
+    monkeypatch.setattr(links, "dial", dial)
+    assert server.accept().receive(Release, call).reason is Reason.CLEARED
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -86,6 +86,7 @@
         if server.link is not None:
             born_ms = self.shared.born_ms(server)
             self.shared.recorder.attempt_sent(call.call_id, attempt.index, server.host, born_ms)
+            server.releases.precede_set_up(call.call_id, server.link, self.shared.now)
         if server.link is not None and server.link.send(forwarded):
             attempt.link = server.link
             self.shared.counters["set_ups_sent"] += 1
@@ -121,7 +122,8 @@
         """Stop an attempt that is in flight, and release it towards its server."""
         server, link = attempt.server, attempt.link
         if link is not None and not link.withdraw(attempt.call.call_id):
-            link.send(Release(attempt.call.call_id, Reason.CLEARED))
+            # On the connection of its set-up: on another one it might overtake that.
+            server.releases.send(Release(attempt.call.call_id, Reason.CLEARED), [link], self.shared.now)
             self.connections.suspect_if_silent(server, link, attempt.sent_at)
         elif outcome is Outcome.TIMEOUT:
             outcome = Outcome.CONNECT_FAILED  # never sent, so it must not count against the call
@@ -165,17 +167,25 @@
                 attempt, Outcome.CONNECT_FAILED, call_over=attempt.call.call_id not in self.shared.open_calls
             )
 
-    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome) -> None:
-        """End the attempts in flight on a connection. An answer that was on its way there is lost."""
+    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome, released: bool) -> None:
+        """End the attempts in flight on a connection. An answer that was on its way there is lost.
+
+        With `released` the server may take the connection and the set-ups for open: it is told on another.
+        """
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.book.abandoned_ids.add(attempt.call.call_id)
             self.remove_attempt(attempt)
+            if released:
+                server.release_call(Release(attempt.call.call_id, Reason.CLEARED), self.shared.now)
             self.route.report_end(
                 attempt, outcome, call_over=attempt.call.call_id not in self.shared.open_calls
             )
 
-    def cut_calls(self, server: Server, cutoff: int, cause: str) -> None:
-        """End the calls and attempts of a server process that served until `cutoff` and is gone."""
+    def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None:
+        """End the calls and attempts of a server process that served until `cutoff` and is gone.
+
+        If it was only cut off it is told of their end, should it come back.
+        """
         lost = [a for a in server.attempts.values() if a.sent_at <= cutoff and a not in server.waiting]
         if lost:
             log.warning(
@@ -184,8 +194,12 @@
         for call_id in self.shared.inherited_calls.take_by_host(server.host):
             self.shared.counters["calls_cut"] += 1
             self.book.send_release(Release(call_id, Reason.INTERRUPTED), None)
+            if not process_ended:
+                server.release_call(Release(call_id, Reason.CLEARED), self.shared.now)
         for attempt in lost:
             self.remove_attempt(attempt)
+            if not process_ended:
+                server.release_call(Release(attempt.call.call_id, Reason.CLEARED), self.shared.now)
             if attempt.stands:
                 self.shared.counters["calls_cut"] += 1
                 self.book.send_release(Release(attempt.call.call_id, Reason.INTERRUPTED), attempt.call.caller)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -41,8 +41,8 @@
 
     def send_set_up(self, attempt: Attempt) -> None: ...
     def fail_waiting(self, server: Server) -> None: ...
-    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome) -> None: ...
-    def cut_calls(self, server: Server, cutoff: int, cause: str) -> None: ...
+    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome, released: bool) -> None: ...
+    def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None: ...
 
 
 class ServerConnections:
@@ -183,7 +183,9 @@
         if server.refusals == DEAD_AFTER_REFUSALS:
             # No process listens after the reset: it has died, and its calls with it. The bulletin reports
             # that only seconds later. One refusal is not enough: the last messages may still be on the way.
-            self.attempts.cut_calls(server, self.shared.now, "reset, and refuses connections")
+            self.attempts.cut_calls(
+                server, self.shared.now, "reset, and refuses connections", process_ended=True
+            )
         self.schedule_redial(server)
 
     def schedule_redial(self, server: Server) -> None:
@@ -207,7 +209,7 @@
             self.audit.link_lost(server.host)
         was_read = end is LinkEnd.CLOSED and link.is_half_closed
         server.releases.link_ended(link, was_read, server.link, self.shared.now)
-        self.attempts.end_attempts_on(link, server, Outcome.RESET)
+        self.attempts.end_attempts_on(link, server, Outcome.RESET, released=end is LinkEnd.UNNOTICED)
         if server.link is not None:
             return  # it was replaced: nothing is missing, and the backoff must not grow
         if self.shared.now - server.linked_at < SECOND:
@@ -304,7 +306,7 @@
             server.replaced_links.remove(link)
         link.close(keep_reading=True)
         self.linger(server, link)
-        self.attempts.end_attempts_on(link, server, outcome)
+        self.attempts.end_attempts_on(link, server, outcome, released=True)
 
     def drop_process(self, server: Server, cutoff: int, cause: str) -> None:
         """End the connections and calls of a server process that served until `cutoff` and is gone."""
@@ -315,7 +317,7 @@
         self.audit.process_ended(server.host)
         if server.state is ServerState.GONE:
             self.attempts.fail_waiting(server)
-        self.attempts.cut_calls(server, cutoff, cause)
+        self.attempts.cut_calls(server, cutoff, cause, process_ended=True)
 
     def _drop_silent_machine(self, server: Server) -> None:
         """End the connections and calls of a machine that was cut off: its process may be well."""
@@ -323,7 +325,7 @@
         self._drop_links(server, self.shared.now)
         self.audit.link_lost(server.host)
         cause = "silent, and a new connection failed"
-        self.attempts.cut_calls(server, self.shared.now, cause)
+        self.attempts.cut_calls(server, self.shared.now, cause, process_ended=False)
 
     def _drop_links(self, server: Server, cutoff: int) -> None:
         """Close the connections to a process that served until `cutoff`.
--- a/wickstep/net/server_releases.py
+++ b/wickstep/net/server_releases.py
@@ -80,6 +80,12 @@
         for call in [*self._kept]:
             self._send_again(call, link, now)
 
+    def precede_set_up(self, call: int, link: Link, now: int) -> None:
+        """Before an attempt of this call is sent on a connection: its release must come first, or never."""
+        kept = self._kept.get(call)
+        if kept is not None and (kept.link is link or self._write(kept, link, now)):
+            del self._kept[call]
+
     def is_overdue(self, link: Link, now: int) -> bool:
         """Whether a server that confirms releases has not confirmed one from this connection in time."""
         return self._server_confirms and any(
