Tell a successor which connections may have died, and watch inherited calls' connections

What callers saw: a call that stood over an upgrade was not released when it ended, if a connection to its server had died without a sign.

Cause: the handover record held calls and releases towards callers alone, so that the successor, whose connections are well, made no audit; and silence was looked for only at servers where this process has calls of its own (ServerConnections.watch).

Change: the record (now a typed Handover) names the servers that may take a connection of the old process for open, and releases that a server may not have received. At a handover the process ends its connections from its side and waits 0.1 s at most for the servers' ends. Silence is looked for while inherited calls stand. Records of older versions are read as before; the tests of the record follow the type, with the same values checked.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -224,12 +224,19 @@
 def test_handed_over_calls_and_releases_are_bounded() -> None:
     standing = dict.fromkeys(range(1, handover.MAX_CALLS + 10), "s0")
     releases = [(number, Reason.CLEARED) for number in range(1, handover.MAX_RELEASES + 10)]
-    decoded, decoded_releases = handover.decode(handover.encode(standing, releases))
+    record = handover.decode(handover.encode(handover.Handover(standing, releases)))
+    decoded, decoded_releases = record.standing, record.releases
     assert len(decoded) == handover.MAX_CALLS
     assert max(decoded) == max(standing)  # the latest: older calls are more likely to have ended
     assert decoded_releases == releases[-handover.MAX_RELEASES :]
 
 
+def test_a_handover_of_a_version_that_knows_less_is_used() -> None:
+    assert handover.decode({"standing": [["1", "s"]], "releases": []}) == handover.Handover(
+        {1: "s"}, [], [], []
+    )
+
+
 @pytest.mark.parametrize(
     "content",
     [
@@ -240,6 +247,9 @@
         {"standing": [["1" * 17, "s"]], "releases": []},
         {"standing": [["1", 5]], "releases": []},
         {"standing": [], "releases": [["1", "whim"]]},
+        {"standing": [], "releases": [], "lost_links": [7]},
+        {"standing": [], "releases": [], "lost_links": {}},
+        {"standing": [], "releases": [], "server_releases": [["1", "s"]]},
     ],
 )
 def test_a_malformed_handover_is_rejected(content: Any) -> None:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -215,7 +215,7 @@
 def receive_handover(rig: Rig, *standing: int) -> None:
     """The record of an earlier process is there: these calls stand at s-1."""
     assert rig.switch is not None
-    content = handover.encode(dict.fromkeys(standing, "s-1"), [])
+    content = handover.encode(handover.Handover(dict.fromkeys(standing, "s-1")))
     rig.switch.shared.inbox.put(HandoverReceived(content))
     wait_for(lambda: rig.switch is not None and standing[-1] in rig.switch.shared.inherited_calls)
 
@@ -263,9 +263,9 @@
     group = RecordingGroup()
     setattr(rig.switch.operation, "group", group)  # noqa: B010
     rig.stop()
-    standing, releases = handover.decode(group.records[0])
-    assert standing == {call: "s-1", OLD_CALL: "s-1"}
-    assert releases == []
+    record = handover.decode(group.records[0])
+    assert record.standing == {call: "s-1", OLD_CALL: "s-1"}
+    assert record.releases == []
 
 
 def test_releases_that_wait_for_a_caller_are_left_to_the_successor(connected: ConnectedRig) -> None:
@@ -276,7 +276,7 @@
     group = RecordingGroup()
     setattr(rig.switch.operation, "group", group)  # noqa: B010
     rig.stop()
-    assert handover.decode(group.records[0]) == ({}, [(OLD_CALL, Reason.CLEARED)])
+    assert handover.decode(group.records[0]) == handover.Handover({}, [(OLD_CALL, Reason.CLEARED)], [], [])
 
 
 def test_server_whose_messages_wait_for_the_loop_is_not_closed_over_an_unread_rest(
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -6,18 +6,24 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 
 from wickstep.net import (
     Answer,
+    GroupState,
     Reason,
     Release,
     ReleaseComplete,
     SetUp,
+    Test,
+    TestResult,
     audit_schedule,
     links,
     server_connections,
     server_releases,
+    softswitch,
 )
 from wickstep.net.state import Server as ServerState
 from wickstep.net.units import MS, SECOND
@@ -25,6 +31,8 @@
 from wickstep.operation.process_group import HandoverReceived
 
 from .test_softswitch import (
+    LINES,
+    TIMEOUT_S,
     ConnectedRig,
     Peer,
     Rig,
@@ -181,7 +189,7 @@
     counts: list[int] = []
     assert rig.switch is not None
     monkeypatch.setattr(
-        rig.switch.connections.audit, "link_opened", lambda state: counts.append(state.count_links())
+        rig.switch.connections.audit, "link_opened", lambda state: counts.append(len(state.all_links()))
     )
     for _ in range(8):
         kept.append(server.accept())
@@ -195,7 +203,7 @@
     new_peer = lose_connection(rig, server)
     set_up_call(rig, new_peer, caller)
     assert rig.switch is not None
-    rig.switch.shared.inbox.put(HandoverReceived(handover.encode({0xBEEF: "s-1"}, [])))
+    rig.switch.shared.inbox.put(HandoverReceived(handover.encode(handover.Handover({0xBEEF: "s-1"}))))
     audit_peer = server.accept()
     audit_peer.send(Release(0xBEEF, Reason.CLEARED))
     assert caller.receive(Release, 0xBEEF).reason is Reason.CLEARED
@@ -330,3 +338,97 @@
     monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
     monkeypatch.setattr(links, "dial", dial)
     assert server.accept().receive(Release, call).reason is Reason.CLEARED
+
+
+def test_a_dead_connection_is_noticed_though_only_inherited_calls_stand(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against silence that nobody looks for: no call of this process stands."""
+    rig, server, server_peer, caller = connected
+    call = set_up_call(rig, server_peer, caller)
+    server_peer.send(Release(call, Reason.CLEARED))
+    caller.receive(Release, call)
+    assert rig.switch is not None
+    rig.switch.shared.inbox.put(HandoverReceived(handover.encode(handover.Handover({0xBEEF: "s-1"}))))
+    wait_for(lambda: rig.switch is not None and 0xBEEF in rig.switch.shared.inherited_calls)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 100 * MS)
+    new_peer = server.accept()
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
+    new_peer.send(GroupState(0, LINES), Release(0xBEEF, Reason.CLEARED))
+    assert caller.receive(Release, 0xBEEF).reason is Reason.CLEARED
+
+
+def test_the_successor_audits_the_calls_of_a_connection_that_its_predecessor_lost(
+    connected: ConnectedRig,
+) -> None:
+    """Guards against calls lost over an upgrade: the successor's own connections are all well."""
+    rig, server, _, caller = connected
+    caller.send(Test(1))
+    caller.receive(TestResult, 1)  # so that releases may go to this caller
+    caller.send(Release(0xD0D0, Reason.CLEARED))
+    record = handover.Handover({0xBEEF: "s-1"}, [], ["s-1"])
+    assert rig.switch is not None
+    rig.switch.shared.inbox.put(HandoverReceived(handover.encode(record)))
+    audit_peer = server.accept()
+    audit_peer.send(Release(0xBEEF, Reason.CLEARED))
+    assert caller.receive(Release, 0xBEEF).reason is Reason.CLEARED
+
+
+def test_a_release_that_a_server_may_not_have_received_is_left_to_the_successor(
+    connected: ConnectedRig,
+) -> None:
+    """Guards against a hang-up lost with the process that was to send it again."""
+    rig, _, server_peer, _ = connected
+    record = handover.Handover(
+        {}, [], [], [(0xBEEF, Reason.CLEARED, "s-1"), (0xF00D, Reason.CLEARED, "gone")]
+    )
+    assert rig.switch is not None
+    rig.switch.shared.inbox.put(HandoverReceived(handover.encode(record)))
+    assert server_peer.receive(Release, 0xBEEF).reason is Reason.CLEARED
+
+
+class RecordingGroup:
+    """Stand-in for the processes of a softswitch: a successor is ready, and the record is kept."""
+
+    def __init__(self) -> None:
+        self.others: list[object] = []
+        self.records: list[object] = []
+
+    def has_successor(self) -> bool:
+        return True
+
+    def announce_ready(self) -> None:
+        pass
+
+    def leave(self, content: object) -> None:
+        self.records.append(content)
+
+
+@pytest.mark.parametrize("noticed", [False, True])
+def test_a_process_tells_its_successor_which_servers_have_not_noticed_its_end(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, noticed: bool
+) -> None:
+    """Guards against calls lost over an upgrade: a connection had died, and nobody had looked for it."""
+    rig, _, server_peer, caller = connected
+    hung_up, call = (set_up_call(rig, server_peer, caller) for _ in range(2))
+    caller.send(Release(hung_up, Reason.CLEARED))
+    caller.receive(ReleaseComplete, hung_up)
+    assert rig.switch is not None
+    group = RecordingGroup()
+    setattr(rig.switch.operation, "group", group)  # noqa: B010
+    if noticed:
+        server_peer.send(ReleaseComplete(hung_up))
+        releases = rig.switch.shared.servers["s-1"].releases
+        wait_for(lambda: not releases)
+        monkeypatch.setattr(softswitch, "FLUSH_TIMEOUT_S", TIMEOUT_S)
+        threading.Thread(target=end_with_peer, args=(server_peer,)).start()
+    rig.stop()
+    record = handover.decode(group.records[0])
+    assert record.standing == {call: "s-1"}
+    assert record.hosts_with_lost_links == ([] if noticed else ["s-1"])
+    assert record.server_releases == ([] if noticed else [(hung_up, Reason.CLEARED, "s-1")])
+
+
+def end_with_peer(peer: Peer) -> None:
+    peer.wait_closed()
+    peer.sock.close()
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -131,7 +131,7 @@
     def _make_room(self, server: Server, max_links: int) -> None:
         """Close the oldest connections that are only read, until there are no more than `max_links`."""
         for spare_links in (server.lingering_links, server.audit_links):
-            while spare_links and server.count_links() > max_links:
+            while spare_links and len(server.all_links()) > max_links:
                 self._give_up(server, spare_links.pop(0))
 
     def _give_up(self, server: Server, link: Link) -> None:
@@ -239,7 +239,7 @@
 
     def _is_watched(self, server: Server) -> bool:
         """Whether a dead connection to this server would cost anything."""
-        return bool(server.attempts or server.releases)
+        return bool(server.attempts or server.releases or self.shared.inherited_calls.count_at(server.host))
 
     def watch_soon(self) -> None:
         """A set-up is in flight: check its connection soon."""
@@ -338,6 +338,19 @@
                 link.close()
                 self.on_link_closed(link, server, LinkEnd.UNNOTICED)
 
+    def finish(self) -> list[Link]:
+        """End all connections from this side, at the end of the process; they are still read."""
+        open_links = [link for server in self.shared.servers.values() for link in server.all_links()]
+        for link in open_links:
+            link.finish(keep_reading=True)
+        return open_links
+
+    def note_lost_links(self) -> None:
+        """Note the servers that have not ended their connections since `finish`."""
+        for server in self.shared.servers.values():
+            if any(link.end is LinkEnd.UNNOTICED for link in server.all_links()):
+                self.audit.link_lost(server.host)
+
     def _links_before(self, server: Server, cutoff: int) -> list[Link]:
         """The connections to the process that served until `cutoff`."""
         stale_links = [*server.replaced_links, *server.lingering_links, *server.audit_links]
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -42,7 +42,7 @@
 from wickstep.net.bulletin import ListUpdate
 from wickstep.net.call_audit import CallAudit
 from wickstep.net.config import Config
-from wickstep.net.links import Closed, DialFailed, Link, Opened, Received
+from wickstep.net.links import Closed, DialFailed, Link, LinkEnd, Opened, Received
 from wickstep.net.probes import Probes
 from wickstep.net.relay import RelayStage
 from wickstep.net.route import RouteStage
@@ -70,6 +70,7 @@
 MAX_STOP_TIME = 3 * SECOND  # upper bound of the deadline that a stopping process waits for
 # The same bound where a successor is present: the platform then waits for longer before the kill.
 MAX_HANDOVER_TIME = 5 * SECOND
+FLUSH_TIMEOUT_S = 0.1  # at the end, for what is still to be written
 # Messages, and timers, handled in one turn: the clock is read at its start and must not be outdated at its
 # end.
 MAX_TURN_ITEMS = 16
@@ -396,12 +397,21 @@
         )
 
     def _flush_links(self) -> None:
-        open_links = [*self.shared.caller_links, *(s.link for s in self.shared.servers.values() if s.link)]
-        for link in open_links:
+        """End all connections, once what was written has gone out or the time for that is over."""
+        caller_links = [*self.shared.caller_links]
+        for link in caller_links:
             link.finish()
-        deadline = time.monotonic() + 0.1  # a peer that does not read must not delay the end
-        while time.monotonic() < deadline and not all(link.is_drained() for link in open_links):
+        server_links = self.connections.finish()
+        is_handing_over = self.shared.mode.state is State.HANDING_OVER
+        deadline = time.monotonic() + FLUSH_TIMEOUT_S
+        while time.monotonic() < deadline and not (
+            all(link.is_drained() for link in [*caller_links, *server_links])
+            # A successor has to know which servers have not noticed the end.
+            and not (is_handing_over and any(link.end is LinkEnd.UNNOTICED for link in server_links))
+        ):
             time.sleep(0.002)
+        if is_handing_over:
+            self.connections.note_lost_links()
 
     def print_counts(self) -> None:
         counts = {
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -60,14 +60,10 @@
     dials_for_audit: bool = False  # the connection that is being dialled only tells which calls have ended
     audit_links: list[Link] = field(default_factory=list)  # such connections, until their end
 
-    def count_links(self) -> int:
+    def all_links(self) -> list[Link]:
         """Connections to it, those included that are only read."""
-        return (
-            (self.link is not None)
-            + len(self.replaced_links)
-            + len(self.lingering_links)
-            + len(self.audit_links)
-        )
+        current = [self.link] if self.link is not None else []
+        return [*current, *self.replaced_links, *self.lingering_links, *self.audit_links]
 
     def release_call(self, release: Release, now: int, set_up_link: Link | None = None) -> None:
         """Send a caller's release of a call that may stand here, now or once a connection is there.
--- a/wickstep/operation/handover.py
+++ b/wickstep/operation/handover.py
@@ -8,14 +8,16 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from wickstep.net import Reason
 
 MAX_CALLS = 5000  # in a record
 MAX_INHERITED_CALLS = 20_000  # in the table: as many as a journal of calls holds
-MAX_RELEASES = 1000
+MAX_RELEASES = 1000  # in each direction
+MAX_HOSTS = 5000
 CALL_ID_LIMIT = 2**64
 
 
@@ -23,24 +25,44 @@
     """A handover record that cannot be used."""
 
 
-def encode(standing: Mapping[int, str], releases: Iterable[tuple[int, Reason]]) -> dict[str, Any]:
-    """A record for JSON: the latest established calls with their servers' hosts, and the latest releases."""
+@dataclass(slots=True, frozen=True)
+class Handover:
+    """What an ending process leaves to its successor."""
+
+    standing: Mapping[int, str]  # established calls, with their servers' hosts
+    releases: Sequence[tuple[int, Reason]] = ()  # not yet delivered to callers
+    # Servers that may take a connection of the ending process for open, by host.
+    hosts_with_lost_links: Sequence[str] = ()
+    # Releases that a server may not have received, with its host.
+    server_releases: Sequence[tuple[int, Reason, str]] = ()
+
+
+def encode(record: Handover) -> dict[str, Any]:
+    """A record for JSON: the latest of all that is handed over, within the bounds."""
     return {
-        "standing": [[f"{call:x}", host] for call, host in [*standing.items()][-MAX_CALLS:]],
-        "releases": [[f"{call:x}", reason.value] for call, reason in [*releases][-MAX_RELEASES:]],
+        "standing": [[f"{call:x}", host] for call, host in [*record.standing.items()][-MAX_CALLS:]],
+        "releases": [[f"{call:x}", reason.value] for call, reason in record.releases[-MAX_RELEASES:]],
+        "lost_links": [*record.hosts_with_lost_links[-MAX_HOSTS:]],
+        "server_releases": [
+            [f"{call:x}", reason.value, host] for call, reason, host in record.server_releases[-MAX_RELEASES:]
+        ],
     }
 
 
-def decode(content: Any) -> tuple[dict[int, str], list[tuple[int, Reason]]]:
-    """The calls and releases of a record, within the same bounds; raises InvalidHandover."""
+def decode(content: Any) -> Handover:
+    """The record, within the same bounds; raises InvalidHandover. An earlier version tells less."""
     try:
-        standing = {_parse_call_id(call): _check_host(host) for call, host in content["standing"][:MAX_CALLS]}
-        releases = [
-            (_parse_call_id(call), Reason(reason)) for call, reason in content["releases"][:MAX_RELEASES]
-        ]
-    except (LookupError, TypeError, ValueError) as error:
+        return Handover(
+            {_parse_call_id(call): _check_host(host) for call, host in content["standing"][:MAX_CALLS]},
+            [(_parse_call_id(call), Reason(reason)) for call, reason in content["releases"][:MAX_RELEASES]],
+            [_check_host(host) for host in content.get("lost_links", ())[:MAX_HOSTS]],
+            [
+                (_parse_call_id(call), Reason(reason), _check_host(host))
+                for call, reason, host in content.get("server_releases", ())[:MAX_RELEASES]
+            ],
+        )
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
         raise InvalidHandover(f"invalid handover record: {error}") from error
-    return standing, releases
 
 
 def _parse_call_id(text: Any) -> int:
--- a/wickstep/operation/service.py
+++ b/wickstep/operation/service.py
@@ -90,9 +90,18 @@
         shared, waiting = self.shared, self.take_in.relay.unknown_calls.to_callers
         undelivered = [*waiting, *(release for _, release in self.take_in.book.undelivered)]
         standing = {call: attempt.server.host for call, attempt in shared.standing.items()}
+        standing = {**shared.inherited_calls.hosts_by_call(), **standing}
         return handover.encode(
-            {**shared.inherited_calls.hosts_by_call(), **standing},
-            [(release.call, release.reason) for release in undelivered],
+            handover.Handover(
+                standing,
+                [(release.call, release.reason) for release in undelivered],
+                sorted(shared.hosts_with_lost_links & {*standing.values()}),
+                [
+                    (release.call, release.reason, server.host)
+                    for server in shared.servers.values()
+                    for release in server.releases.releases()
+                ],
+            )
         )
 
     def open_journal(self, plan: RecoveryPlan) -> None:
@@ -228,19 +237,26 @@
     def on_handover(self, received: HandoverReceived) -> None:
         """An earlier process has ended: its calls remain established, and their releases come here."""
         try:
-            standing, releases = handover.decode(received.content)
+            record = handover.decode(received.content)
         except handover.InvalidHandover as error:
             log.warning("the handover record of an earlier process is not used: %s", error)
             return
         log.warning(
-            "handover from an earlier process: %d calls and %d releases", len(standing), len(releases)
+            "handover from an earlier process: %d calls and %d releases",
+            len(record.standing),
+            len(record.releases),
         )
         book = self.take_in.book
-        calls = {call: host for call, host in standing.items() if not book.is_known(call)}
+        calls = {call: host for call, host in record.standing.items() if not book.is_known(call)}
         if forgotten := self.shared.inherited_calls.add(calls):
             self.shared.counters["calls_from_before_forgotten"] += forgotten
-        for call, reason in releases:
+        for call, reason in record.releases:
             book.send_release(Release(call, reason), None)
+        for host in record.hosts_with_lost_links:
+            self.take_in.send.connections.audit.link_lost(host)
+        for call, reason, host in record.server_releases:
+            if (server := self.shared.servers.get(host)) is not None:
+                server.release_call(Release(call, reason), self.shared.now)
 
     def count_servers(self) -> None:
         """Count the servers, whose table only the loop may read; repeats itself."""
