Audit no server whose replaced connection is still heard

Cause: a replaced connection stays open while set-ups wait on it, and every such connection counted as one that may be dead.

Change: a replaced connection that is open counts as dead after 2 s without a word. A server that is alive reports there (every 0.1 to 0.6 s), and writes its releases there.

The new test fails without the change (a connection is opened). It failed once in its first form, in which the set-up could still be unread when the connection was replaced; it now waits for the set-up.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -20,6 +20,7 @@
     Test,
     TestResult,
     audit_schedule,
+    call_audit,
     links,
     server_connections,
     server_releases,
@@ -432,3 +433,34 @@
 def end_with_peer(peer: Peer) -> None:
     peer.wait_closed()
     peer.sock.close()
+
+
+def test_a_replaced_connection_that_is_still_heard_is_not_audited(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, kept: list[Peer]
+) -> None:
+    """Guards against needless connections: a slow server's replaced one is open while set-ups wait there."""
+    set_interval(monkeypatch, 20 * MS)
+    monkeypatch.setattr(call_audit, "MIN_SILENCE", NEVER)  # whatever is open counts as heard
+    rig, server, server_peer, caller = connected
+    assert rig.switch is not None
+    audit = rig.switch.connections.audit
+    rig.switch.shared.min_aim = NEVER  # the set-up is not given up meanwhile
+    call = set_up_call(rig, server_peer, caller)
+    server_peer.receive(SetUp, rig.call(caller))  # is not answered
+    new_peer = replace_connection(rig, server)
+    kept.append(new_peer)
+    wait_for(lambda: "s-1" in audit.schedule)
+    looks: list[str] = []
+    told = audit.schedule.told
+
+    def count_look(host: str, now: int) -> None:
+        looks.append(host)
+        told(host, now)
+
+    monkeypatch.setattr(audit.schedule, "told", count_look)
+    wait_for(lambda: len(looks) >= 3)
+    assert counter(rig, "audit_dials") == 0
+    monkeypatch.setattr(call_audit, "MIN_SILENCE", 0)  # it has been silent for longer now
+    audit_peer = server.accept()
+    audit_peer.send(Release(call, Reason.CLEARED))
+    assert caller.receive(Release, call).reason is Reason.CLEARED
--- a/wickstep/net/call_audit.py
+++ b/wickstep/net/call_audit.py
@@ -17,6 +17,7 @@
 
 # How long the connection of an audit is kept: the server sends its state first, then the releases.
 AUDIT_LINK_TIME = SECOND
+MIN_SILENCE = 2 * SECOND  # of a replaced connection that counts as dead before it is closed
 MIN_LOOK_INTERVAL = 50 * MS  # between two looks at the schedule while all permitted connections are open
 DESCRIPTOR_DIVISOR = 16  # audits use the number of descriptors divided by this at most
 MIN_PARALLEL = 4
@@ -74,20 +75,27 @@
         running = sum(server.dials_for_audit + len(server.audit_links) for server in shared.servers.values())
         for host in self.schedule.take_due(shared.now, running):
             server = shared.servers.get(host)
-            if server is None or not self._may_hold_dead_link(server):
+            if server is None or not self._is_suspect(server):
                 self.schedule.remove(host)
-            elif self.has_untold_calls(server):
+            elif self._holds_dead_link(server) and self.has_untold_calls(server):
                 log.info("%s: opening a further connection to hear which calls have ended", host)
                 self.open_link(server)
             else:
                 self.schedule.told(host, shared.now)
         self._schedule_run()
 
-    def _may_hold_dead_link(self, server: Server) -> bool:
+    def _is_suspect(self, server: Server) -> bool:
         return server.host in self.shared.hosts_with_lost_links or bool(
             server.replaced_links or server.lingering_links
         )
 
+    def _holds_dead_link(self, server: Server) -> bool:
+        """Whether the server may take a dead connection for open; a slow server's is still heard."""
+        heard_since = self.shared.now - MIN_SILENCE
+        return server.host in self.shared.hosts_with_lost_links or any(
+            link.heard_at < heard_since for link in (*server.replaced_links, *server.lingering_links)
+        )
+
     def _schedule_run(self) -> None:
         due = self.schedule.next_due()
         if due is None:
