--- a/benchmarks/audits.py
+++ b/benchmarks/audits.py
@@ -69,9 +69,10 @@
         per_window.update(at // WINDOW for at, _ in audit_servers(1, 1024, seed).dials)
     steady = [per_window[window] for window in range(STEADY_FROM // WINDOW, DURATION // WINDOW)]
     first = max(per_window[window] for window in range(STEADY_FROM // WINDOW))
+    per_second = sum(steady) / len(steady) * SECOND / WINDOW
     click.echo(
-        f"{softswitches:5} softswitches, one server:"
-        f" {sum(steady) / len(steady) * SECOND / WINDOW:5.1f} connections a second; busiest 100 ms {first} in the first 10 s, {max(steady)} later"
+        f"{softswitches:5} softswitches, one server: {per_second:5.1f} connections a second;"
+        f" busiest 100 ms {first} in the first 10 s, {max(steady)} later"
     )
 
 
