Let the tests dial a second connection only once the first is in use

Cause: the stand-in, not the program. replace_connection dials from the test's thread. A server accepts a connection in the kernel, before the softswitch has it, so beside load the softswitch's first connection could come into use after the test's second one and replace it. The set-up then went to the first, which this test does not read. The softswitch itself never dials two connections to a server at once (Server.dialing), so this order does not befall it.

The test's dial now waits until the present connection is in use, and returns once its own one is. What the tests check is unchanged.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -224,11 +224,9 @@
         peer.send(Answer(rig.serial, b"accept"))
         caller.receive(Answer, rig.serial)
         calls.append(rig.serial)
-    assert rig.switch is not None
-    shared = rig.switch.shared
-    for server, host in zip(servers, ("s-0", "s-1"), strict=True):
-        links.dial(server.dial, 500_000, shared.inbox, shared.servers[host], rig.switch.connections.reader)
-        server.accept()
+    kept.extend(
+        replace_connection(rig, server, host) for server, host in zip(servers, ("s-0", "s-1"), strict=True)
+    )
     for server, call in zip(servers, calls, strict=True):
         audit_peer = server.accept()
         audit_peer.send(Release(call, Reason.CLEARED))
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -142,11 +142,15 @@
         while True:
             sock, _ = self.sock.accept()
             with sock:
-                while b"\r\n\r\n" in (request := sock.recv(4096)):
-                    number = int(request.split(b"after=")[1].split(b"&")[0])
-                    items = self.after(number)
-                    body = json.dumps({"no": items[-1]["no"] if items else number, "items": items})
-                    sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                self.serve_connection(sock)
+
+    def serve_connection(self, sock: socket.socket) -> None:
+        with contextlib.suppress(ConnectionError):  # a softswitch that was killed resets its connection
+            while b"\r\n\r\n" in (request := sock.recv(4096)):
+                number = int(request.split(b"after=")[1].split(b"&")[0])
+                items = self.after(number)
+                body = json.dumps({"no": items[-1]["no"] if items else number, "items": items})
+                sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
 
 def list_line(
@@ -923,12 +927,21 @@
     caller.receive(Answer, call)
 
 
-def replace_connection(rig: Rig, server: Server) -> Peer:
-    """Open another connection to the server, as the softswitch does if the present one looks unresponsive."""
+def replace_connection(rig: Rig, server: Server, host: str = "s-1") -> Peer:
+    """Open another connection to the server, as the softswitch does if the present one looks unresponsive.
+
+    The softswitch dials one connection to a server at a time: the present one is in use before the next is
+    dialled, and that one when this returns. A server accepts a connection before the softswitch uses it.
+    """
     assert rig.switch is not None
     shared, reader = rig.switch.shared, rig.switch.connections.reader
-    links.dial(server.dial, 500_000, shared.inbox, shared.servers["s-1"], reader)
-    return server.accept()
+    state = shared.servers[host]
+    wait_for(lambda: state.link is not None)
+    present_link = state.link
+    links.dial(server.dial, 500_000, shared.inbox, state, reader)
+    peer = server.accept()
+    wait_for(lambda: state.link is not present_link)
+    return peer
 
 
 def wait_for_shutdown(server_peer: Peer) -> None:
