End a server's connection over an answer that the next message completes

Cause: a server's answer stops short, and the server goes on with its next message on the same connection. Nothing on the wire says where a message begins, so the next message's bytes filled the answer up, and it was passed on.

The mend: after an answer or a set-up is whole, what follows it in the buffer must be able to begin a message (length, type, the chain of its parameters), or neither is taken; a message's type is checked once it is there, so that a spoilt length no longer swallows kilobytes of messages; and an answer whose description holds the head of a state report or of a message about a call at that server ends the connection. Such an id does not stand there by chance. Attempts in flight on a spoilt connection are released on the next one, since the server may take them for answered; if another connection was open already, the server's calls are audited, since it tells again only on later connections.

Byte by byte, an answer that lacks 6 bytes or less is full before more of the next head is there: it is not told.

--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import re
 import struct
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from enum import IntEnum
 
 from wickstep.net import (
@@ -31,6 +32,7 @@
 HEAD = struct.Struct(">HBQ")  # length of what follows this field, message type, call
 PARAMETER = struct.Struct(">BH")  # code, length of the value
 LENGTH_FIELD_BYTES = 2
+CALL_BYTES = 8
 MIN_LENGTH = HEAD.size - LENGTH_FIELD_BYTES  # of a message without parameters
 MAX_TENANT_BYTES = 255  # a tenant's name is kept as long as its call
 ADVISED_SERVER_LIMIT = 2**31  # a centre may advise servers of numbers below this
@@ -51,6 +53,7 @@
     TEST_RESULT = 53
 
 
+MESSAGE_TYPES = frozenset(int(kind) for kind in MessageType)
 P_CLASS, P_WAIT, P_TENANT, P_REPEAT, P_NUMBER, P_FIGURES = 64, 65, 66, 67, 68, 69
 P_STAY_AWAY, P_NOTE, P_REPORT, P_CAUSE, P_DESCRIPTION = 70, 71, 73, 78, 79
 
@@ -69,6 +72,19 @@
     Reason.BARRED: 21,  # call rejected
 }
 REASON_BY_CAUSE = {cause: reason for reason, cause in CAUSE_BY_REASON.items()}
+SERVER_MESSAGE_TYPES = (
+    MessageType.ANSWER,
+    MessageType.RELEASE,
+    MessageType.RELEASE_COMPLETE,
+    MessageType.GROUP_STATE,
+    MessageType.TEST_RESULT,
+)
+# In a description: length (up to 16 KiB), type and call of a message, and the code of its first parameter.
+# At the end of the description half of the call's id is enough: random bytes do not match it.
+HEAD_IN_DESCRIPTION = re.compile(
+    rb"(?=[\x00-\x3f].([%s])(.{8}|.{4,7}\Z)(.?))" % re.escape(bytes(SERVER_MESSAGE_TYPES)), re.DOTALL
+)
+REPORT_BEGINS = (b"", bytes([P_REPORT]))  # what follows the head of a state report, as far as it is there
 NOTE_BY_NAME = {"no_circuit": Note.NO_CIRCUIT, "overload": Note.OVERLOAD, "lines_busy": Note.LINES_BUSY}
 
 
@@ -102,21 +118,64 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[Message]:
+        """The messages that are complete now.
+
+        A description may hold any bytes. If its message was cut short, and the peer went on with another one,
+        it holds the begin of that one: what follows it is no message then, and neither is it.
+        """
         self._buffer += data
+        _check_begin(self._buffer, 0)
         while len(self._buffer) >= LENGTH_FIELD_BYTES:
-            length = int.from_bytes(self._buffer[:LENGTH_FIELD_BYTES], "big")
-            # Checked before the rest has arrived: a wrong length must not make us buffer 64 KiB.
-            if not MIN_LENGTH <= length <= MAX_MESSAGE - LENGTH_FIELD_BYTES:
-                raise MalformedMessage(
-                    f"length field out of range: expected a message head to 16 KiB in all, got {length}"
-                )
-            end = LENGTH_FIELD_BYTES + length
+            end = LENGTH_FIELD_BYTES + int.from_bytes(self._buffer[:LENGTH_FIELD_BYTES], "big")
             if len(self._buffer) < end:
                 return
             message = decode(bytes(self._buffer[:end]))
+            if isinstance(message, SetUp | Answer):
+                _check_begin(self._buffer, end)
             del self._buffer[:end]
             self.size = end
             yield message  # removed from the buffer before: a slow consumer must not keep a second copy here
+            _check_begin(self._buffer, 0)
+
+
+def _check_begin(buffer: bytearray, start: int) -> None:
+    """Raise MalformedMessage unless a message may begin there, as far as it has arrived.
+
+    Checked before the rest has arrived: a wrong length must not make us buffer 64 KiB.
+    """
+    if len(buffer) < start + LENGTH_FIELD_BYTES:
+        return
+    length = int.from_bytes(buffer[start : start + LENGTH_FIELD_BYTES], "big")
+    if not MIN_LENGTH <= length <= MAX_MESSAGE - LENGTH_FIELD_BYTES:
+        raise MalformedMessage(
+            f"length field out of range: expected a message head to 16 KiB in all, got {length}"
+        )
+    if len(buffer) > start + LENGTH_FIELD_BYTES and buffer[start + LENGTH_FIELD_BYTES] not in MESSAGE_TYPES:
+        raise MalformedMessage(f"unknown message type {buffer[start + LENGTH_FIELD_BYTES]}")
+    position, end = start + HEAD.size, start + LENGTH_FIELD_BYTES + length
+    while position < end and position + PARAMETER.size <= len(buffer):
+        _, value_length = PARAMETER.unpack_from(buffer, position)
+        position += PARAMETER.size + value_length
+    if position > end:
+        raise MalformedMessage("a parameter is longer than the rest of its message")
+
+
+def holds_message(description: bytes, calls: Collection[int]) -> bool:
+    """Whether the head of another message stands in a description: a state report's, or one of these calls'.
+
+    The message of that description was cut short, and its peer went on with the other one.
+    """
+    for found in HEAD_IN_DESCRIPTION.finditer(description):
+        kind, call_bytes, next_byte = found[1][0], found[2], found[3]
+        if kind == MessageType.GROUP_STATE and not any(call_bytes) and next_byte in REPORT_BEGINS:
+            return True
+        if len(call_bytes) == CALL_BYTES and int.from_bytes(call_bytes, "big") in calls:
+            return True
+        if len(call_bytes) < CALL_BYTES and any(
+            call.to_bytes(CALL_BYTES, "big").startswith(call_bytes) for call in calls
+        ):
+            return True
+    return False
 
 
 def decode(raw: bytes) -> Message:
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -111,7 +111,8 @@
     """How a connection has ended, by what its peer knows of it."""
 
     CLOSED = "closed by its peer"  # in order, after all that the peer had written
-    BROKEN = "reset, or closed over what came on it"  # the peer knows, and may not have read all
+    BROKEN = "reset"  # the peer knows, and may not have read all
+    SPOILT = "closed over what came on it"  # the peer learns of it; what it has written there is lost
     UNNOTICED = "given up on this side"  # the peer may take it for open, and go on writing into it
 
 
@@ -361,7 +362,7 @@
         except MalformedMessage as exc:
             log.warning("closing a server's connection: %s", exc)
             malformed = True
-            self.end = LinkEnd.BROKEN
+            self.end = LinkEnd.SPOILT
         except OSError as exc:
             self._note_end(exc)
         self._end_connection(malformed)
@@ -409,7 +410,7 @@
             is_given_up = self._output_closed and not self._keep_reading
         if error is not None and error.errno in RESET_ERRORS:
             self.end = LinkEnd.BROKEN
-        elif error is None and not is_given_up and self.end is not LinkEnd.BROKEN:
+        elif error is None and not is_given_up and self.end is LinkEnd.UNNOTICED:
             self.end = LinkEnd.CLOSED
 
     def _end_connection(self, malformed: bool) -> None:
--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -12,9 +12,10 @@
     Reason,
     Release,
     ReleaseComplete,
+    codec,
 )
 from wickstep.net.book import BookStage
-from wickstep.net.links import Link
+from wickstep.net.links import Link, LinkEnd
 from wickstep.net.route import RouteStage
 from wickstep.net.send import SendStage
 from wickstep.net.state import Attempt, Server, SharedState, log
@@ -43,6 +44,8 @@
             # An answer to a stopped attempt; the server has been sent a release.
             self.shared.counters["strays"] += 1
             return
+        if codec.holds_message(message.description, server.attempts):
+            return self._close_spoilt_link(server, link)
         call = attempt.call
         attempt.stands = link.has_answered = True
         self.shared.recorder.call_stands(call.call_id)
@@ -91,6 +94,13 @@
         self.book.send_final_answer(call, Release(call.call_id, Reason.FAILED), "failed")
         self.route.report_end(attempt, Outcome.ENDED, True, message)
 
+    def _close_spoilt_link(self, server: Server, link: Link) -> None:
+        """Close a connection on which messages cannot be told apart any more; its attempts end with it."""
+        log.warning("%s: closing a connection: expected a whole answer, got one cut short", server.host)
+        self.shared.counters["malformed"] += 1
+        link.is_closing, link.end = True, LinkEnd.SPOILT
+        link.close()
+
     def _is_stale(self, attempt: Attempt, link: Link) -> bool:
         """Whether a message is about an earlier attempt of the call at this server, on a connection replaced
         since: messages about the current attempt come on its own connection while that is open."""
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -170,7 +170,7 @@
     def end_attempts_on(self, link: Link, server: Server, outcome: Outcome, released: bool) -> None:
         """End the attempts in flight on a connection. An answer that was on its way there is lost.
 
-        With `released` the server may take the connection and the set-ups for open: it is told on another.
+        With `released` the server may take the set-ups for open or answered: it is told on another one.
         """
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
             self.book.abandoned_ids.add(attempt.call.call_id)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -205,11 +205,13 @@
                 other_links.remove(link)
         if link.process_ended:
             end = LinkEnd.BROKEN
-        if end is LinkEnd.UNNOTICED:
+        if end is LinkEnd.UNNOTICED or (end is LinkEnd.SPOILT and server.link is not None):
+            # Its server tells what it has written there on a connection that is opened after this end.
             self.audit.link_lost(server.host)
         was_read = end is LinkEnd.CLOSED and link.is_half_closed
         server.releases.link_ended(link, was_read, server.link, self.shared.now)
-        self.attempts.end_attempts_on(link, server, Outcome.RESET, released=end is LinkEnd.UNNOTICED)
+        may_stand = end in (LinkEnd.UNNOTICED, LinkEnd.SPOILT)
+        self.attempts.end_attempts_on(link, server, Outcome.RESET, released=may_stand)
         if server.link is not None:
             return  # it was replaced: nothing is missing, and the backoff must not grow
         if self.shared.now - server.linked_at < SECOND:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -305,6 +305,8 @@
                 self.take_in.close_link(link)
 
     def handle_server_message(self, server: Server, link: Link, message: Message) -> None:
+        if link.is_closing:
+            return  # what came before cannot be trusted, and so neither can this
         match message:
             case Answer():
                 self.relay.relay_answer(server, link, message)
