Hold a repeated attempt while an answer to the first may be on its way

Messages carry the id of their call and nothing of its attempts. A call whose attempt was cancelled goes to the same server again after the release time, on the same connection; an answer to the first attempt that arrives then was taken for one to the second (RelayStage._is_stale tells attempts apart by connection only): the caller was told of a run that the release ends at its server, and the second run stood for nobody. A late end of the first attempt (causes 34, 47, 41, 102) ended the second in the same way.

Shown by order in tests/test_repeated_attempts.py: the second attempt begins, then the late word comes, then the release is confirmed.

The mend: the set-up of a repeated attempt waits while its first one was sent on the same connection, and nothing shows that no word about it can come any more: the release confirmed, or anything answered there that was sent after the first set-up (a server answers a connection's messages in order; a probe is such a thing). If no such word comes within half the shortest time in which a call is wanted, another connection is opened, whose messages are told apart; the release goes first there. A call whose first attempt had been answered, and that ends while the second waits, is failed and not run again. ServerReleases.take_back names the release of an attempt that was not answered.

--- /dev/null
+++ b/tests/test_repeated_attempts.py
@@ -0,0 +1,165 @@
+"""A call that goes to the same setup server a second time: messages carry the call's id and no attempt's.
+
+What the server has sent about the first attempt may arrive while the second is on its way.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+
+import pytest
+
+from wickstep import brain
+from wickstep.net import Answer, GroupState, Reason, Release, ReleaseComplete, SetUp
+from wickstep.net.state import Server as ServerState
+
+from .test_softswitch import (
+    LINES,
+    ConnectedRig,
+    Peer,
+    Rig,
+    connected,
+    keep_connections,
+    rig,
+    set_up_call,
+    wait_for,
+)
+
+__all__ = ["connected", "rig"]  # fixtures
+
+FIRST, SECOND_RUN = b"description of the first run", b"description of the second run"
+
+
+def server_state(rig: Rig) -> ServerState:
+    assert rig.switch is not None
+    return rig.switch.shared.servers["s-1"]
+
+
+def counter(rig: Rig, name: str) -> int:
+    assert rig.switch is not None
+    return rig.switch.shared.counters[name]
+
+
+def begin_second_attempt(rig: Rig, peer: Peer, caller: Peer) -> int:
+    """A call whose first attempt was cancelled, and whose second one at the server has begun."""
+    call = rig.call(caller)
+    peer.receive(SetUp, call)
+    assert rig.switch is not None
+    open_call = rig.switch.shared.open_calls[call]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(brain, "EVIDENCE_LIFETIME", 0)
+        while open_call.attempt is not None:
+            peer.send(GroupState(0, LINES))  # nothing waits at the server, so the answer seems to be lost
+            time.sleep(0.005)
+        assert peer.receive(Release, call).reason is Reason.CLEARED
+    wait_for(lambda: open_call.attempt_count == 2 and open_call.attempt is not None)
+    return call
+
+
+def answer_second_attempt(peer: Peer, caller: Peer, call: int) -> None:
+    peer.receive(SetUp, call)
+    peer.send(Answer(call, SECOND_RUN))
+    assert caller.receive(Answer, call).description == SECOND_RUN
+
+
+@pytest.fixture
+def confirming(connected: ConnectedRig) -> ConnectedRig:
+    """A server that has confirmed a release."""
+    rig, _, peer, caller = connected
+    call = set_up_call(rig, peer, caller)
+    caller.send(Release(call, Reason.CLEARED))
+    peer.receive(Release, call)
+    peer.send(ReleaseComplete(call))
+    wait_for(lambda: not server_state(rig).releases)
+    return connected
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        Answer(0, FIRST),
+        Release(0, Reason.FULL),
+        Release(0, Reason.FAULT),
+        Release(0, Reason.INTERRUPTED),
+        Release(0, Reason.MOOT),
+    ],
+    ids=["answer", "full", "fault", "interrupted", "moot"],
+)
+@pytest.mark.parametrize("servers", ["confirming", "connected"])
+def test_a_late_word_about_the_first_attempt_is_not_taken_for_one_about_the_second(
+    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch, servers: str, late: Answer | Release
+) -> None:
+    """Guards against a caller told of the wrong run, and a call that stands for nobody."""
+    keep_connections(monkeypatch)
+    rig, _, peer, caller = request.getfixturevalue(servers)
+    call = begin_second_attempt(rig, peer, caller)
+    strays = counter(rig, "strays")
+    peer.send(replace(late, call=call), ReleaseComplete(call))  # sent before the server read the release
+    answer_second_attempt(peer, caller, call)
+    assert counter(rig, "strays") == strays + 1
+
+
+@pytest.mark.parametrize("proof", ["release confirmed", "later call answered"])
+def test_a_repeated_attempt_is_sent_once_no_answer_to_the_first_can_come(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch, proof: str
+) -> None:
+    """Guards against a call that waits at a server which confirms no release."""
+    keep_connections(monkeypatch)
+    rig, _, peer, caller = connected
+    call = begin_second_attempt(rig, peer, caller)
+    if proof == "release confirmed":
+        peer.send(ReleaseComplete(call))
+    else:
+        set_up_call(rig, peer, caller)
+    answer_second_attempt(peer, caller, call)
+
+
+def test_a_repeated_attempt_goes_on_another_connection_if_no_word_comes(connected: ConnectedRig) -> None:
+    """Guards against a call that waits in vain: its server confirms nothing, and no other call is there."""
+    rig, server, peer, caller = connected
+    call = begin_second_attempt(rig, peer, caller)
+    new_peer = server.accept()
+    assert new_peer.receive(Release, call).reason is Reason.CLEARED  # ahead of the set-up, in any case
+    strays = counter(rig, "strays")
+    peer.send(Answer(call, FIRST))  # on the connection before
+    wait_for(lambda: counter(rig, "strays") == strays + 1)
+    answer_second_attempt(new_peer, caller, call)
+
+
+def test_a_repeated_attempt_is_sent_on_the_next_connection_if_its_own_is_reset(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an attempt that is forgotten while it waits."""
+    keep_connections(monkeypatch)
+    rig, server, peer, caller = connected
+    call = begin_second_attempt(rig, peer, caller)
+    peer.reset()
+    answer_second_attempt(server.accept(), caller, call)
+
+
+def test_a_call_whose_first_attempt_was_answered_and_is_over_is_not_run_again(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a call that runs twice: its answer was lost, and it ends while the second waits."""
+    keep_connections(monkeypatch)
+    rig, _, peer, caller = connected
+    call = begin_second_attempt(rig, peer, caller)
+    peer.send(Release(call, Reason.CLEARED), ReleaseComplete(call))
+    assert caller.receive(Release, call).reason is Reason.FAILED
+    set_up_call(rig, peer, caller)
+    assert counter(rig, "set_ups_sent") == 2  # the first attempt and this call
+
+
+def test_a_repeated_attempt_that_waits_ends_with_its_caller(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a call that begins after its caller has left."""
+    keep_connections(monkeypatch)
+    rig, _, peer, caller = connected
+    call = begin_second_attempt(rig, peer, caller)
+    caller.send(Release(call, Reason.CLEARED))
+    caller.receive(ReleaseComplete, call)
+    peer.send(ReleaseComplete(call))
+    set_up_call(rig, peer, caller)
+    assert (counter(rig, "set_ups_sent"), server_state(rig).held) == (2, [])
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -175,6 +175,8 @@
         self.has_spoken = False  # set by the loop: whether there was a message
         self.probed_at = 0  # set by the loop: when it last sent a probe here
         self.has_answered = False  # set by the loop: whether a set-up or a probe was answered here
+        # Set by the loop: when it sent the latest message that was answered here in its turn.
+        self.answered_until = 0
         self.process_ended = False  # set by the loop: so has the process at the other end
         self.closed = False  # set by the loop; the threads see a close by their socket
         self.calls: dict[int, Any] = {}  # of the loop: calls that wait for an answer here
--- a/wickstep/net/probes.py
+++ b/wickstep/net/probes.py
@@ -26,7 +26,8 @@
 
     def __init__(self, shared: SharedState, route: RouteStage) -> None:
         self.shared, self.route = shared, route
-        self._pending: dict[int, tuple[Server, int]] = {}  # by id: where and when it was sent
+        # By id: where, on which connection and when it was sent.
+        self._pending: dict[int, tuple[Server, Link, int]] = {}
         self._tokens, self._refilled_at = MAX_SAVED_PROBES, shared.now
         self._ids = itertools.count(shared.config.seed & 0xFFFFFFFF0000 | 1 << 63)
 
@@ -54,21 +55,28 @@
             link.probed_at = self.shared.now
             self.shared.counters["probes_sent"] += 1
             log.info("probing %s: nothing received for %d us", server.host, self.shared.now - link.heard_at)
-            self._pending[probe_id] = (server, self.shared.now)
-            self.shared.schedule(self.shared.now + PROBE_TIMEOUT, lambda: self._expire(probe_id))
-
-    def _expire(self, probe_id: int) -> None:
-        self.finish(probe_id, None)
+            self._pending[probe_id] = (server, link, self.shared.now)
+            self.shared.schedule(self.shared.now + PROBE_TIMEOUT, lambda: self._end(probe_id, None))
 
     def finish(self, probe_id: int, load_report: Mapping[str, float] | None) -> bool:
-        """End a probe: answered or, without a report, rejected or timed out. False if it is unknown."""
-        server, sent_at = self._pending.pop(probe_id, (None, 0))
-        if server is None:
+        """End a probe: answered or, without a report, rejected. False if it is unknown."""
+        if probe_id not in self._pending:
             return False
+        server, link, sent_at = self._pending[probe_id]
+        server.releases.confirm_before(link, sent_at)
+        if load_report is not None:
+            link.answered_until = max(link.answered_until, sent_at)
+        self._end(probe_id, load_report)
+        return True
+
+    def _end(self, probe_id: int, load_report: Mapping[str, float] | None) -> None:
+        """Tell the controller how a probe ended: without a report it was rejected or has timed out."""
+        if probe_id not in self._pending:
+            return
+        server, _, sent_at = self._pending.pop(probe_id)
         log.info("%s: probe %s after %d us", server.host,
                  "rejected or timed out" if load_report is None else "answered",
                  self.shared.now - sent_at)  # fmt: skip
         report = self.route.convert_report(load_report or {})
         delay = (self.shared.now - sent_at) * NS_PER_US
         self.route.handle_event(api.ProbeAnswered(server.host, load_report is not None, delay, report))
-        return True
--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -52,6 +52,7 @@
         if not self.book.send_final_answer(call, message, "stands"):
             return
         self.shared.standing[call.call_id] = attempt
+        link.answered_until = max(link.answered_until, attempt.sent_at)
         server.releases.confirm_before(link, attempt.sent_at)
         delay = self.shared.now - attempt.sent_at
         log.info("%016x #%d stands at %s after %d us", call.call_id, attempt.index, server.host, delay)
@@ -71,10 +72,15 @@
             else:
                 self.unknown_calls.release_from_server(server, message)
             return
+        if attempt in server.held and message.reason is Reason.CLEARED:
+            self.send.remove_attempt(attempt)
+            return self._end_unanswered_call(attempt, message)  # the earlier attempt had been answered
         if (not attempt.stands or link in server.lingering_links) and self._is_stale(attempt, link):
             self.shared.counters["strays"] += 1
             return
         self.send.remove_attempt(attempt)
+        if not attempt.stands:
+            server.releases.confirm_before(link, attempt.sent_at)
         if attempt.stands:
             self.book.send_release(Release(message.call, message.reason), attempt.call.caller)
             outcome = Outcome.ENDED if message.reason is Reason.CLEARED else Outcome.RESET
@@ -90,6 +96,9 @@
         It must not be sent again: it would run a second time.
         """
         call = attempt.call
+        if attempt.index and attempt.link is not None:
+            # It may be an earlier attempt that was answered, and this one is on its way.
+            attempt.server.releases.take_back(call.call_id, attempt.link, attempt.sent_at, self.shared.now)
         self.shared.counters["answers_lost"] += 1
         self.book.send_final_answer(call, Release(call.call_id, Reason.FAILED), "failed")
         self.route.report_end(attempt, Outcome.ENDED, True, message)
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -64,6 +64,8 @@
             attempt.timeout_at, partial(self.expire_attempt, call.controller_id, attempt.index)
         )
         self.send_set_up(attempt)
+        if attempt in server.held:
+            self.shared.counters["attempts_held"] += 1
 
     def send_set_up(self, attempt: Attempt) -> None:
         """Send the set-up of an attempt, or queue it for a connection; the only place where one is sent."""
@@ -84,9 +86,11 @@
             call.call_id, call.set_up.klass, wait_ms, call.set_up.number, call.set_up.description
         )
         if server.link is not None:
+            if not server.releases.precede_set_up(call.call_id, server.link, self.shared.now):
+                server.held.append(attempt)
+                return
             born_ms = self.shared.born_ms(server)
             self.shared.recorder.attempt_sent(call.call_id, attempt.index, server.host, born_ms)
-            server.releases.precede_set_up(call.call_id, server.link, self.shared.now)
         if server.link is not None and server.link.send(forwarded):
             attempt.link = server.link
             self.shared.counters["set_ups_sent"] += 1
@@ -98,6 +102,21 @@
         server.waiting.append(attempt)
         self.connections.connect(server)
 
+    def send_held(self, server: Server) -> None:
+        """Send the attempts that need not wait any longer for the end of an earlier one of their call."""
+        held, server.held = server.held, []
+        for attempt in held:
+            self.send_set_up(attempt)
+            if attempt.link is not None:
+                attempt.sent_at = self.shared.now
+
+    def send_waiting(self, server: Server) -> None:
+        """Send the attempts that waited for a connection."""
+        waiting, server.waiting = server.waiting, []
+        for attempt in waiting:
+            self.send_set_up(attempt)
+        self.send_held(server)  # those whose release has gone to the connection before
+
     def _classify(self, attempt: Attempt) -> SendReason:
         record = self.route.controller.servers.get(attempt.server.host)
         first_choice, failures = (
@@ -111,8 +130,9 @@
         self.shared.recorder.attempt_over(attempt.call.call_id)
         attempt.server.attempts.pop(attempt.call.call_id, None)
         self.shared.standing.pop(attempt.call.call_id, None)
-        if attempt in attempt.server.waiting:
-            attempt.server.waiting.remove(attempt)
+        for unsent in (attempt.server.waiting, attempt.server.held):
+            if attempt in unsent:
+                unsent.remove(attempt)
         if attempt.call.attempt is attempt:
             attempt.call.attempt = None
         if attempt.link in attempt.server.replaced_links:
@@ -122,8 +142,7 @@
         """Stop an attempt that is in flight, and release it towards its server."""
         server, link = attempt.server, attempt.link
         if link is not None and not link.withdraw(attempt.call.call_id):
-            # On the connection of its set-up: on another one it might overtake that.
-            server.releases.send(Release(attempt.call.call_id, Reason.CLEARED), [link], self.shared.now)
+            server.releases.take_back(attempt.call.call_id, link, attempt.sent_at, self.shared.now)
             self.connections.suspect_if_silent(server, link, attempt.sent_at)
         elif outcome is Outcome.TIMEOUT:
             outcome = Outcome.CONNECT_FAILED  # never sent, so it must not count against the call
@@ -160,7 +179,7 @@
 
     def fail_waiting(self, server: Server) -> None:
         """End the attempts that wait for a connection to this server: none of them was sent."""
-        waiting, server.waiting = server.waiting, []
+        waiting = [*server.waiting] if server.link is not None else [*server.waiting, *server.held]
         for attempt in waiting:
             self.remove_attempt(attempt)
             self.route.report_end(
@@ -186,7 +205,8 @@
 
         If it was only cut off it is told of their end, should it come back.
         """
-        lost = [a for a in server.attempts.values() if a.sent_at <= cutoff and a not in server.waiting]
+        unsent = [*server.waiting, *server.held]
+        lost = [a for a in server.attempts.values() if a.sent_at <= cutoff and a not in unsent]
         if lost:
             log.warning(
                 "server %s (%s): %s; %d calls affected", server.host, server.state.value, cause, len(lost)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -17,7 +17,7 @@
 from wickstep.net.call_audit import AUDIT_LINK_TIME, CallAudit
 from wickstep.net.links import DialFailed, Link, LinkEnd
 from wickstep.net.probes import Probes
-from wickstep.net.state import MIN_REDIAL_DELAY, Attempt, Server, SharedState
+from wickstep.net.state import MIN_REDIAL_DELAY, Server, SharedState
 from wickstep.net.units import MS, SECOND
 from wickstep.recovery import jitter
 
@@ -39,7 +39,8 @@
 class Attempts(Protocol):
     """What happens to the attempts at a server when a connection opens or ends."""
 
-    def send_set_up(self, attempt: Attempt) -> None: ...
+    def send_waiting(self, server: Server) -> None: ...
+    def send_held(self, server: Server) -> None: ...
     def fail_waiting(self, server: Server) -> None: ...
     def end_attempts_on(self, link: Link, server: Server, outcome: Outcome, released: bool) -> None: ...
     def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None: ...
@@ -111,9 +112,7 @@
         if not server.linked_at:
             self.on_first_link(server, link)
         server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
-        waiting, server.waiting = server.waiting, []
-        for attempt in waiting:
-            self.attempts.send_set_up(attempt)
+        self.attempts.send_waiting(server)
         self.retire_replaced_links(server)
         if server.replaced_links and self.shared.config.settings.may_probe:
             # An answer shows that the server is well and only the old connection is dead.
@@ -213,7 +212,7 @@
         may_stand = end in (LinkEnd.UNNOTICED, LinkEnd.SPOILT)
         self.attempts.end_attempts_on(link, server, Outcome.RESET, released=may_stand)
         if server.link is not None:
-            return  # it was replaced: nothing is missing, and the backoff must not grow
+            return self.attempts.send_held(server)  # it was replaced: the backoff must not grow
         if self.shared.now - server.linked_at < SECOND:
             # A server that accepts and closes must not be dialled in a tight loop.
             return self.schedule_redial(server)
@@ -231,7 +230,8 @@
             oldest_sent: dict[Link | None, int] = {}
             for attempt in server.attempts.values():
                 if not attempt.stands:
-                    oldest_sent[attempt.link] = min(oldest_sent.get(attempt.link, now), attempt.sent_at)
+                    link = attempt.link or server.link  # an attempt that is held waits for a word on this one
+                    oldest_sent[link] = min(oldest_sent.get(link, now), attempt.sent_at)
             idle = idle and not oldest_sent and not server.replaced_links
             for link in [*server.replaced_links]:
                 self.check_replaced_link(server, link, now - max(link.heard_at, oldest_sent.get(link, now)))
@@ -282,6 +282,8 @@
         is_dead = is_silent or (probe_unanswered and silence > probe_after)
         # Of a connection that is dead in one direction alone.
         is_dead = is_dead or server.releases.is_overdue(link, now)
+        # A server that confirms no release: on another connection its messages are told apart.
+        is_dead = is_dead or any(now - held.sent_at > self.shared.min_aim // 2 for held in server.held)
         if is_dead and now >= server.additional_dial_after:
             self.connect(server, additional=True)
 
@@ -316,6 +318,7 @@
         for link in self._links_before(server, cutoff):
             link.process_ended = True
         self._drop_links(server, cutoff)
+        self.attempts.send_held(server)
         self.audit.process_ended(server.host)
         if server.state is ServerState.GONE:
             self.attempts.fail_waiting(server)
--- a/wickstep/net/server_releases.py
+++ b/wickstep/net/server_releases.py
@@ -1,8 +1,10 @@
 """Releases towards one setup server, kept until the server has received them.
 
 A release that is written into a connection that has died without a sign is lost, and its call goes on at the
-server. This file owns which releases the server may not have received, and when one is sent again. It must
-never release a call that has an attempt at the server. Times are microseconds.
+server. Messages carry the id of their call and nothing of its attempts: until the server has received the
+release of one attempt, what it sends about the call may be about that one. This file owns which releases the
+server may not have received, when one is sent again, and how long the next attempt of its call waits for it.
+It must never release a call that has an attempt at the server. Times are microseconds.
 """
 
 from __future__ import annotations
@@ -10,7 +12,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
-from wickstep.net import Release
+from wickstep.net import Reason, Release
 from wickstep.net.links import Link
 from wickstep.net.units import SECOND
 
@@ -24,6 +26,9 @@
     """A release that the server may not have received."""
 
     release: Release
+    # The connection and the time of the set-up that it takes back; None: that one was answered.
+    set_up_link: Link | None = None
+    set_up_sent_at: int = 0
     link: Link | None = None  # where it was written last; None: nowhere yet
     sent_at: int = 0
     send_count: int = 0
@@ -47,7 +52,18 @@
 
     def send(self, release: Release, links: list[Link], now: int) -> None:
         """Send a release on the first of these connections that takes it, or keep it for the next one."""
-        kept = KeptRelease(release)
+        self._keep(KeptRelease(release), links, now)
+
+    def take_back(self, call: int, link: Link, set_up_sent_at: int, now: int) -> None:
+        """Release an attempt that was not answered.
+
+        It goes on the connection of the set-up: on another one it might overtake that.
+        """
+        kept = KeptRelease(Release(call, Reason.CLEARED), link, set_up_sent_at)
+        self._keep(kept, [link], now)
+
+    def _keep(self, kept: KeptRelease, links: list[Link], now: int) -> None:
+        release = kept.release
         self._kept[release.call] = kept
         self._kept.move_to_end(release.call)
         if len(self._kept) > MAX_KEPT:
@@ -80,11 +96,22 @@
         for call in [*self._kept]:
             self._send_again(call, link, now)
 
-    def precede_set_up(self, call: int, link: Link, now: int) -> None:
-        """Before an attempt of this call is sent on a connection: its release must come first, or never."""
+    def precede_set_up(self, call: int, link: Link, now: int) -> bool:
+        """Before an attempt of this call is sent on a connection: its release must come first, or never.
+
+        False if the attempt has to wait: an answer to the earlier one may be on its way on this connection,
+        and would be taken for that to the new one. A server answers a connection's messages in order, so none
+        comes any more once the release is confirmed, or anything that was sent after the earlier set-up.
+        """
         kept = self._kept.get(call)
-        if kept is not None and (kept.link is link or self._write(kept, link, now)):
-            del self._kept[call]
+        if kept is None:
+            return True
+        if kept.link is not link and not self._write(kept, link, now):
+            return True  # the connection is closing, and takes no set-up either
+        if kept.set_up_link is link and link.answered_until <= kept.set_up_sent_at:
+            return False
+        del self._kept[call]
+        return True
 
     def is_overdue(self, link: Link, now: int) -> bool:
         """Whether a server that confirms releases has not confirmed one from this connection in time."""
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -331,6 +331,8 @@
             case SetUp() | Test():
                 self.shared.counters["malformed"] += 1  # a message that only callers send
                 link.close()
+        if server.held:
+            self.send.send_held(server)
 
     def update_servers(self, update: ListUpdate) -> None:
         """Apply a change of the list of setup servers."""
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -55,6 +55,8 @@
     replaced_links: list[Link] = field(default_factory=list)
     lingering_links: list[Link] = field(default_factory=list)  # closed for writing and still read
     waiting: list[Attempt] = field(default_factory=list)  # attempts waiting for a connection
+    # Attempts waiting until the server has received the release of an earlier one of their call.
+    held: list[Attempt] = field(default_factory=list)
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: in flight or standing
     releases: ServerReleases = field(default_factory=ServerReleases)  # that it may not have received
     dials_for_audit: bool = False  # the connection that is being dialled only tells which calls have ended
@@ -81,7 +83,7 @@
     sent_at: int
     expires_at: int  # the attempt ends then, whatever the server says about it
     timeout_at: int  # earlier end, where the server owes a message sooner
-    link: Link | None = None  # None while it waits for a connection
+    link: Link | None = None  # None while it waits for a connection, or for the release of an earlier attempt
     stands: bool = False
 
 
