Let rehearsals tell an answer by which no server stands

The rehearsals' servers answered every run of a call with the same bytes, so their judge could not see an answer that none had made, nor one about a run that was taken back; and their timers went by the call's id, so a second run of a call at one server was answered or ended by the first one's timers.

Each run is now answered with a description of its own (server, call, number of the set-up there). The judge takes it for 'lost' if no server made the description that the caller was given, or if the softswitch had released that run before, unless a fault of a link or a stop explains the order. The server whose end of a call counts is found by the description.

--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
@@ -127,6 +128,31 @@
     assert violated(*events) == rules
 
 
+@pytest.mark.parametrize(
+    ("events", "rules"),
+    [
+        (("run 2",), []),
+        (("run 1",), ["lost"]),  # released before the caller was given its answer
+        (("run 3",), ["lost"]),  # made by no server
+        ((Event(1.25, EventKind.LINK_FAULT, 0, detail="callers", value=1.0), "run 1"), []),
+    ],
+    ids=["its server stands by it", "taken back", "made by nobody", "delayed by a fault"],
+)
+def test_an_answer_by_which_no_server_stands_is_reported(
+    events: tuple[Event | str, ...], rules: list[str]
+) -> None:
+    """Guards against a judge that takes the answer of one run of a call for that of another."""
+    runs = (
+        replace(ACCEPTED, description="run 1"),
+        Event(1.3, EventKind.CALL_TAKEN_BACK, 0, 7, "a", description="run 1"),
+        started(1.35, "a"),
+        replace(ended(1.4, "stands"), description="run 2"),
+    )
+    final = Event(1.5, EventKind.FINAL_ANSWER, 0, 7, detail="stands", description=str(events[-1]))
+    faults = [event for event in events if isinstance(event, Event)]
+    assert violated(SENT, STARTED, *runs, *faults, final) == rules
+
+
 def test_a_set_up_sent_before_and_after_a_restart_is_reported() -> None:
     down, up = Event(1.3, EventKind.DOWN, 0), Event(1.5, EventKind.UP, 0)
     again = (Event(1.6, EventKind.SET_UP_SENT, 0, 7, value=2.0), started(1.7), ended(1.8, "stands", "b"))
--- a/wickstep/net/audit_schedule.py
+++ b/wickstep/net/audit_schedule.py
@@ -36,9 +36,6 @@
     def __contains__(self, host: str) -> bool:
         return host in self._due
 
-    def __len__(self) -> int:
-        return len(self._due)
-
     def add(self, host: str, now: int) -> None:
         """A connection to this server may be dead while the server takes it for open."""
         if host not in self._due:
--- a/wickstep/net/call_audit.py
+++ b/wickstep/net/call_audit.py
@@ -26,9 +26,7 @@
 class CallAudit:
     """Decides at which servers calls may have ended untold, and has further connections opened there."""
 
-    open_link: Callable[
-        [Server], None
-    ]  # opens a further connection to a server, unless one is dialled already
+    open_link: Callable[[Server], None]  # opens a further connection, unless one is dialled already
 
     def __init__(self, shared: SharedState) -> None:
         self.shared = shared
--- a/wickstep/rehearsal/callers.py
+++ b/wickstep/rehearsal/callers.py
@@ -90,11 +90,17 @@
             del self.open_calls[message.call]
             stands = isinstance(message, Answer)
             outcome = "stands" if stands else message.reason.value if isinstance(message, Release) else ""
-            trace.record(at, EventKind.FINAL_ANSWER, self.softswitch, message.call, detail=outcome)
+            trace.record(
+                at, EventKind.FINAL_ANSWER, self.softswitch, message.call, detail=outcome,
+                description=read_description(message),
+            )  # fmt: skip
             if stands:
                 self.answered_calls.add(message.call)
         elif isinstance(message, Answer):  # a second answer, or one after the caller's wait
-            trace.record(at, EventKind.FINAL_ANSWER, self.softswitch, message.call, detail="stands")
+            trace.record(
+                at, EventKind.FINAL_ANSWER, self.softswitch, message.call, detail="stands",
+                description=read_description(message),
+            )  # fmt: skip
         elif isinstance(message, Release):
             self.send(ReleaseComplete(message.call))
             trace.record(at, EventKind.RELEASE_RECEIVED, self.softswitch, message.call)
@@ -129,6 +135,10 @@
         self.connection = None
 
 
+def read_description(message: Answer | Release) -> str:
+    return message.description.decode(errors="backslashreplace") if isinstance(message, Answer) else ""
+
+
 class Callers:
     """All callers and the load balancer."""
 
--- a/wickstep/rehearsal/judge.py
+++ b/wickstep/rehearsal/judge.py
@@ -89,9 +89,9 @@
             first, due = sent[0], sent[-1].at + sent[-1].value
             if len(finals) > 1:
                 yield Violation(finals[1].at, "lost", f"{call:x}: {len(finals)} final answers")
-            accepted = any(event.detail == "stands" for event in events if event.server)
-            if finals and finals[0].detail == "stands" and not accepted:
-                yield Violation(finals[0].at, "lost", f"{call:x}: answered, but no server has accepted it")
+            is_answered = bool(finals) and finals[0].detail == "stands"
+            if is_answered and (fault := self.find_false_answer(events, finals[0])):
+                yield Violation(finals[0].at, "lost", f"{call:x}: {fault}")
             if any(event.kind is EventKind.CALLER_LEFT for event in events):
                 continue  # no answer is due any more
             excused = self.is_excused(first.softswitch, first.at, due + TOLERANCE_S)
@@ -100,6 +100,23 @@
             if finals and finals[0].at > due + ANSWER_TOLERANCE_S and not excused:
                 yield Violation(finals[0].at, "lost", f"{call:x}: answered {finals[0].at - due:.3f} s late")
 
+    def find_false_answer(self, events: list[Event], answered: Event) -> str:
+        """Why no server stands by an answer; empty if one does.
+
+        A release that a softswitch sends for a later reason may overtake the answer on a broken link.
+        """
+        runs = [event for event in events if event.description == answered.description and event.server]
+        if not any(event.detail == "stands" for event in runs):
+            return "answered, but no server has made this answer"
+        taken_back = [
+            event.at for event in runs if event.kind is EventKind.CALL_TAKEN_BACK and event.at < answered.at
+        ]
+        if taken_back and not self.is_excused(
+            answered.softswitch, taken_back[0], answered.at + RELEASE_LIMIT_S, servers=True
+        ):
+            return f"answered {answered.at - taken_back[0]:.3f} s after its run was released at the server"
+        return ""
+
     def check_attempts(self) -> Iterator[Violation]:
         for call, events in self.by_call.items():
             open_attempts: dict[str, float] = {}  # server: start
@@ -193,7 +210,7 @@
 
 
 def find_answering_server(events: list[Event], answered: Event) -> str:
-    """The server whose answer the caller was given: the last at which the call stood by then.
+    """The server whose answer the caller was given: the last that had made it by then.
 
     An answer that was lost on a dead connection leaves a call at another one, which nobody waits for.
     """
@@ -201,7 +218,10 @@
         (
             event.server
             for event in reversed(events)
-            if event.kind is EventKind.ATTEMPT_ENDED and event.detail == "stands" and event.at <= answered.at
+            if event.kind is EventKind.ATTEMPT_ENDED
+            and event.detail == "stands"
+            and event.description == answered.description
+            and event.at <= answered.at
         ),
         "",
     )
--- a/wickstep/rehearsal/servers.py
+++ b/wickstep/rehearsal/servers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
 import socket
@@ -46,7 +47,7 @@
     def __init__(self, server: SetUpServer, sock: socket.socket, softswitch: int) -> None:
         self.server, self.softswitch = server, softswitch
         self.splitter = codec.Splitter()
-        self.open_attempts: set[int] = set()  # calls that wait for their answer here
+        self.open_attempts: dict[int, int] = {}  # calls that wait for their answer here, each with its run
         key = (softswitch, server.name)
         self.connection = ProxyConnection(server.loop, server.network, sock, key, self.on_data, self.on_end)
 
@@ -86,7 +87,8 @@
         self.health = HEALTH_STATES[0]
         self.free_at = 0.0  # when its processor has done all that is queued
         self.links: list[Link] = []
-        self.standing: dict[int, Link] = {}  # by call: the link on which its set-up came
+        self.standing: dict[int, tuple[Link, int]] = {}  # by call: the link on which its set-up came, the run
+        self.runs = itertools.count(1)  # set-ups of one call, which messages do not tell apart
         self.unconfirmed_releases: dict[int, dict[int, Release]] = {}  # by softswitch and call
         self.recent_set_ups: deque[float] = deque()  # arrivals in the last fall_s
         self.has_ended = False
@@ -116,12 +118,16 @@
             case Release():
                 link.send(ReleaseComplete(message.call))
                 if message.call in link.open_attempts:
-                    link.open_attempts.discard(message.call)
+                    del link.open_attempts[message.call]
                     self.trace.record(
                         at, EventKind.ATTEMPT_ENDED, link.softswitch, message.call, self.name, "given up"
                     )
-                else:
-                    self.standing.pop(message.call, None)
+                elif message.call in self.standing:
+                    _, run = self.standing.pop(message.call)
+                    self.trace.record(
+                        at, EventKind.CALL_TAKEN_BACK, link.softswitch, message.call, self.name,
+                        description=self._describe(message.call, run),
+                    )  # fmt: skip
             case ReleaseComplete():
                 self.unconfirmed_releases.get(link.softswitch, {}).pop(message.call, None)
             case Test():
@@ -137,7 +143,7 @@
         self.trace.record(
             at, EventKind.ATTEMPT_STARTED, link.softswitch, call, self.name, value=self.capacity()
         )
-        link.open_attempts.add(call)
+        run = link.open_attempts[call] = next(self.runs)
         plan, now = self.plan, self.loop.elapsed_s
         self.recent_set_ups.append(now)
         while self.recent_set_ups[0] < now - plan.fall_s:
@@ -152,38 +158,45 @@
         if wait > plan.queue_s or len(self.standing) >= plan.lines:
             note = Note.OVERLOAD if wait > plan.queue_s else Note.NO_CIRCUIT
             self.free_at = max(self.free_at, now) + REFUSAL_WORK * work
-            return self.loop.call_later(self.free_at - now, lambda: self._refuse(link, call, note))
+            return self.loop.call_later(self.free_at - now, lambda: self._refuse(link, call, run, note))
         self.free_at = max(self.free_at, now) + work
-        self.loop.call_later(self.free_at - now, lambda: self._answer(link, call))
+        self.loop.call_later(self.free_at - now, lambda: self._answer(link, call, run))
+
+    def _describe(self, call: int, run: int) -> str:
+        """The description that answers this run of a call, and no other."""
+        return f"{self.name}/{call:x}/{run}"
 
     def _collapse(self, capacity: float) -> None:
         cause = f"{len(self.recent_set_ups)} at {capacity:.0f} a second"
         self.trace.record(self.loop.elapsed_s, EventKind.SERVER_COLLAPSED, -1, 0, self.name, cause)
         self.end()
 
-    def _refuse(self, link: Link, call: int, note: Note) -> None:
-        if call in link.open_attempts:
-            link.open_attempts.discard(call)
+    def _refuse(self, link: Link, call: int, run: int, note: Note) -> None:
+        if link.open_attempts.get(call) == run:
+            del link.open_attempts[call]
             self.trace.record(
                 self.loop.elapsed_s, EventKind.ATTEMPT_ENDED, link.softswitch, call, self.name, "full"
             )
             link.send(Release(call, Reason.FULL, note, report=self.report()))
 
-    def _answer(self, link: Link, call: int) -> None:
-        if call in link.open_attempts:
-            link.open_attempts.discard(call)
+    def _answer(self, link: Link, call: int, run: int) -> None:
+        if link.open_attempts.get(call) == run:
+            del link.open_attempts[call]
+            description = self._describe(call, run)
             self.trace.record(
-                self.loop.elapsed_s, EventKind.ATTEMPT_ENDED, link.softswitch, call, self.name, "stands"
-            )
-            self.standing[call] = link
-            link.send(Answer(call, b"accept"))
-            self.loop.call_later(self.random.expovariate(1 / self.hold_s), lambda: self._end_call(call))
-
-    def _end_call(self, call: int, reason: Reason = Reason.CLEARED) -> None:
-        link = self.standing.pop(call, None)
-        if link is None or self.has_ended:
+                self.loop.elapsed_s, EventKind.ATTEMPT_ENDED, link.softswitch, call, self.name, "stands",
+                description=description,
+            )  # fmt: skip
+            self.standing[call] = (link, run)
+            link.send(Answer(call, description.encode()))
+            self.loop.call_later(self.random.expovariate(1 / self.hold_s), lambda: self._end_call(call, run))
+
+    def _end_call(self, call: int, run: int) -> None:
+        link, standing_run = self.standing.get(call, (None, 0))
+        if link is None or standing_run != run or self.has_ended:
             return
-        release = Release(call, reason, report=self.report())
+        del self.standing[call]
+        release = Release(call, Reason.CLEARED, report=self.report())
         self.unconfirmed_releases.setdefault(link.softswitch, {})[call] = release
         open_links = [one for one in self.links if one.softswitch == link.softswitch]
         link = link if link in open_links else next(iter(open_links), link)
--- a/wickstep/rehearsal/trace.py
+++ b/wickstep/rehearsal/trace.py
@@ -17,6 +17,7 @@
     ATTEMPT_STARTED = "came"  # an attempt arrived at a setup server; value: set-ups a second it can do then
     ATTEMPT_ENDED = "ended"  # an attempt ended at a setup server; detail: stands, full, given up, link, cut
     CALL_ENDED = "over"  # the setup server ended a call that stood
+    CALL_TAKEN_BACK = "taken back"  # a softswitch released a call that stood at the setup server
     SERVER_COLLAPSED = "fell"  # a cold setup server was overloaded and ended; detail: by how many set-ups
     STATE_ANNOUNCED = "heard"  # the list reported a server's state to a softswitch; detail: draining, gone
     LIST_REQUESTED = "listed"  # a softswitch requested the list of setup servers
@@ -38,6 +39,7 @@
     server: str = ""
     detail: str = ""
     value: float = 0.0
+    description: str = ""  # of an answer: tells which run of the call it is about
 
 
 @dataclass(slots=True)
@@ -45,8 +47,8 @@
     events: list[Event] = field(default_factory=list)
 
     def record(self, at: float, kind: EventKind, softswitch: int, call: int = 0, server: str = "",
-               detail: str = "", value: float = 0.0) -> None:  # fmt: skip
-        self.events.append(Event(at, kind, softswitch, call, server, detail, value))
+               detail: str = "", value: float = 0.0, description: str = "") -> None:  # fmt: skip
+        self.events.append(Event(at, kind, softswitch, call, server, detail, value, description))
 
     def of_kind(self, *kinds: EventKind) -> list[Event]:
         return [event for event in self.events if event.kind in kinds]
