Open one further connection after a spoilt one, and none after a reset

A server that has reset a connection, or sees it closed, knows of its end: one connection opened later is enough, and only if calls of the ended one stand. After resets none is opened: such resets of replaced connections are frequent, and what had arrived before one is still read.

--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -204,10 +204,10 @@
                 other_links.remove(link)
         if link.process_ended:
             end = LinkEnd.BROKEN
-        was_replaced = server.link is not None and not link.process_ended
-        if end is LinkEnd.UNNOTICED or (end is not LinkEnd.CLOSED and was_replaced):
-            # What was written there and not read, the server tells on a connection that is opened later.
+        if end is LinkEnd.UNNOTICED:
             self.audit.link_lost(server.host)
+        elif end is LinkEnd.SPOILT and server.link is not None:
+            self.audit.link_spoilt(server, link)
         was_read = end is LinkEnd.CLOSED and link.is_half_closed
         server.releases.link_ended(link, was_read, server.link, self.shared.now)
         may_stand = end in (LinkEnd.UNNOTICED, LinkEnd.SPOILT)
