--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -20,6 +20,7 @@
     Peer,
     Rig,
     connected,
+    counter,
     keep_connections,
     rig,
     set_up_call,
@@ -36,11 +37,6 @@
     return rig.switch.shared.servers["s-1"]
 
 
-def counter(rig: Rig, name: str) -> int:
-    assert rig.switch is not None
-    return rig.switch.shared.counters[name]
-
-
 def begin_second_attempt(rig: Rig, peer: Peer, caller: Peer) -> int:
     """A call whose first attempt was cancelled, and whose second one at the server has begun."""
     call = rig.call(caller)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -40,6 +40,7 @@
     Server,
     break_off_at_next_check,
     connected,
+    counter,
     list_line,
     replace_connection,
     rig,
@@ -73,11 +74,6 @@
     return []
 
 
-def counter(rig: Rig, name: str) -> int:
-    assert rig.switch is not None
-    return rig.switch.shared.counters[name]
-
-
 def lose_connection(rig: Rig, server: Server) -> Peer:
     """The present connection is dead, and is replaced by the one returned."""
     assert rig.switch is not None
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -241,6 +241,11 @@
 ConnectedRig = tuple[Rig, Server, Peer, Peer]
 
 
+def counter(rig: Rig, name: str) -> int:
+    assert rig.switch is not None
+    return rig.switch.shared.counters[name]
+
+
 def connect_one_server(rig: Rig) -> ConnectedRig:
     server = Server()
     rig.open(list_line(server, "s-1"))
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -130,12 +130,14 @@
             if len(self._buffer) < end:
                 return
             message = decode(bytes(self._buffer[:end]))
-            if isinstance(message, SetUp | Answer):
+            has_description = isinstance(message, SetUp | Answer)
+            if has_description:
                 _check_begin(self._buffer, end)
             del self._buffer[:end]
             self.size = end
             yield message  # removed from the buffer before: a slow consumer must not keep a second copy here
-            _check_begin(self._buffer, 0)
+            if not has_description:
+                _check_begin(self._buffer, 0)
 
 
 def _check_begin(buffer: bytearray, start: int) -> None:
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -329,7 +329,6 @@
         """End the connections and calls of a machine that was cut off: its process may be well."""
         self.shared.counters["servers_vanished"] += 1
         self._drop_links(server, self.shared.now)
-        self.audit.link_lost(server.host)
         cause = "silent, and a new connection failed"
         self.attempts.cut_calls(server, self.shared.now, cause, process_ended=False)
 
