Tell an answer that a progress message completes

Found on re-reading: the types of the heads that are looked for in a description lacked progress, which a server sends, too. An answer that lacked 11 bytes and was followed by one was taken for whole (17 bytes if it came byte by byte). The new row of tests/test_cut_answers.py failed in 3 of 3 cases without the type, and passes with it.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -12,6 +12,7 @@
     GroupState,
     MalformedMessage,
     Message,
+    Progress,
     Reason,
     Release,
     SetUp,
@@ -36,6 +37,7 @@
     Release(NEXT_CALL, Reason.CLEARED, report=LINES),
     Release(NEXT_CALL, Reason.FULL),
     GroupState(0, LINES),
+    Progress(NEXT_CALL),
 ]
 
 
@@ -53,7 +55,7 @@
     return messages
 
 
-@pytest.mark.parametrize("next_message", NEXT_MESSAGES, ids=["answer", "end", "refusal", "state"])
+@pytest.mark.parametrize("next_message", NEXT_MESSAGES, ids=["answer", "end", "refusal", "state", "progress"])
 @pytest.mark.parametrize("written", ["at once", "in two pieces", "byte by byte"])
 def test_an_answer_cut_anywhere_is_not_completed_by_the_next_message(
     next_message: Message, written: str
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -73,6 +73,7 @@
 }
 REASON_BY_CAUSE = {cause: reason for reason, cause in CAUSE_BY_REASON.items()}
 SERVER_MESSAGE_TYPES = (
+    MessageType.PROGRESS,
     MessageType.ANSWER,
     MessageType.RELEASE,
     MessageType.RELEASE_COMPLETE,
