Show that a call is sent again while it stands where a reset lost its answer

The end of a connection by a reset is taken for proof that the server has given its set-ups up; a call that the server had answered stands there all the same, and is sent a second time without a release of the first.

The stand-in of a setup server keeps its attempts one by one, the link knows a delay and a reset.

--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -145,6 +145,17 @@
         return int(sock.getsockname()[1])
 
 
+@dataclass(eq=False)
+class Attempt:
+    """A set-up that has come whole to a setup server: out until it is given up, or its end is written."""
+
+    call: int
+    host: str
+    at: float
+    answered: float = 0.0
+    end: float = float("inf")
+
+
 @dataclass(eq=False)
 class Server:
     """A setup server: it answers each set-up after `answer_s`, and releases the call after `hold_s`.
@@ -162,10 +173,11 @@
     lines: int = 200
     port: int = 0
     set_ups: list[tuple[float, int]] = field(default_factory=list)  # when a set-up had come whole, its call
+    attempts: list[Attempt] = field(default_factory=list)
     answered: dict[int, float] = field(default_factory=dict)
     released: dict[int, float] = field(default_factory=dict)  # by this server, in the ordinary way
     cut: dict[int, float] = field(default_factory=dict)  # by the softswitch, while the call stood
-    given_up: dict[int, float] = field(default_factory=dict)  # by the softswitch, before the answer
+    given_up: dict[int, float] = field(default_factory=dict)  # before the answer, with its connection too
     standing: dict[int, asyncio.StreamWriter] = field(default_factory=dict)
     _open: dict[int, asyncio.StreamWriter] = field(default_factory=dict)
     _told_last: list[int] = field(default_factory=list)  # releases to be said on the next connection too
@@ -207,7 +219,8 @@
                 self.set_ups.append((self.case.now(), call))
                 self.case.note(f"{self.host}: set-up {call:016x}")
                 self._open[call] = writer
-                self.case.spawn(self._work(call, parameters[DESCRIPTION]))
+                self.attempts.append(Attempt(call, self.host, self.case.now()))
+                self.case.spawn(self._work(self.attempts[-1], parameters[DESCRIPTION]))
             elif kind == RELEASE:
                 self._take_release(call)
                 writer.write(message(HEARD, call))
@@ -215,6 +228,8 @@
                 self.case.spawn(self._answer_test(writer, call))
         for call in [call for call, owner in self._open.items() if owner is writer]:
             del self._open[call]
+            self._end(call)
+            self.given_up[call] = self.case.now()
         if writer in self._writers:
             self._writers.remove(writer)
         self.case.note(f"{self.host}: connection from {peer} ended")
@@ -224,7 +239,13 @@
         await asyncio.sleep(self.answer_s)  # its processor works in order
         writer.write(message(STATE, call, {REPORT: self.report()}))
 
+    def _end(self, call: int) -> None:
+        for attempt in self.attempts:
+            if attempt.call == call:
+                attempt.end = min(attempt.end, self.case.now())
+
     def _take_release(self, call: int) -> None:
+        self._end(call)
         if self._open.pop(call, None) is not None:
             self.given_up[call] = self.case.now()
             self.case.note(f"{self.host}: set-up {call:016x} given up by the softswitch")
@@ -232,13 +253,14 @@
             self.cut[call] = self.case.now()
             self.case.note(f"{self.host}: call {call:016x} stood, released by the softswitch")
 
-    async def _work(self, call: int, description: bytes) -> None:
+    async def _work(self, attempt: Attempt, description: bytes) -> None:
+        call = attempt.call
         await asyncio.sleep(self.answer_s)
         writer = self._open.pop(call, None)
         if writer is None:
             return
         self.standing[call] = writer
-        self.answered[call] = self.case.now()
+        self.answered[call] = attempt.answered = self.case.now()
         writer.write(message(ANSWER, call, {DESCRIPTION: f"{self.host} took ".encode() + description[:16]}))
         self.case.note(f"{self.host}: answer {call:016x}")
         await asyncio.sleep(self.hold_s if isinstance(self.hold_s, float) else self.hold_s(call))
@@ -246,6 +268,7 @@
         if writer is None:
             return
         self.released[call] = self.case.now()
+        self._end(call)
         self.case.note(f"{self.host}: release {call:016x}, the call has come to its end")
         self._told_last.append(call)
         if writer not in self._writers:  # on any open one
@@ -314,8 +337,10 @@
 class Link:
     """A proxy in front of one address. `silent` stops both directions; connections stay open meanwhile."""
 
-    def __init__(self, case: Case, target_port: int, buffer_bytes: int = 0) -> None:
+    def __init__(self, case: Case, target_port: int, buffer_bytes: int = 0, delay_s: float = 0.0) -> None:
         self.case, self.target_port, self.buffer_bytes = case, target_port, buffer_bytes
+        self.delay_s = delay_s  # one way
+        self._joined: set[asyncio.Task[None]] = set()
         self.running = asyncio.Event()
         self.running.set()
         self.port = 0
@@ -339,11 +364,23 @@
     def heal(self) -> None:
         self.running.set()
 
+    def reset(self) -> None:
+        """Reset all connections, towards both ends; what is on its way is lost."""
+        for task in self._joined:
+            task.cancel()
+        self._joined.clear()
+
+    async def _send_later(self, target: socket.socket, data: bytes) -> None:
+        """In order: every piece is as late as the one before it."""
+        await asyncio.sleep(self.delay_s)
+        with contextlib.suppress(OSError, ValueError):  # closed meanwhile
+            await asyncio.get_running_loop().sock_sendall(target, data)
+
     async def _accept(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
             near, peer = await loop.sock_accept(sock)
-            self.case.spawn(self._join(near, peer))
+            self._joined.add(self.case.spawn(self._join(near, peer)))
 
     async def _join(self, near: socket.socket, peer: tuple[str, int]) -> None:
         loop = asyncio.get_running_loop()
@@ -354,12 +391,18 @@
                 return near.close()  # given up meanwhile: a link that is cut lets no new connection come up
         far = socket.socket()
         far.setblocking(False)
-        with contextlib.suppress(OSError):
+        try:
             await loop.sock_connect(far, ("127.0.0.1", self.target_port))
             self.passed[peer], self.set_ups[peer] = 0, []
             await asyncio.gather(self._pass(near, far, peer), self._pass(far, near, None))
-        near.close()
-        far.close()
+        except OSError:
+            pass
+        except asyncio.CancelledError:  # it is reset
+            for sock in (near, far):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        finally:
+            near.close()
+            far.close()
 
     async def _pass(self, source: socket.socket, target: socket.socket, peer: tuple[str, int] | None) -> None:
         loop = asyncio.get_running_loop()
@@ -373,7 +416,10 @@
                 data = source.recv(2048)
                 if not data:
                     break
-                await loop.sock_sendall(target, data)
+                if self.delay_s:
+                    self.case.spawn(self._send_later(target, data))
+                else:
+                    await loop.sock_sendall(target, data)
                 if peer is not None:
                     self.passed[peer] += len(data)
                     rest += data
@@ -384,6 +430,8 @@
                         rest, begin = rest[end:], begin + end
         except OSError:
             pass
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s + 0.005)
         with contextlib.suppress(OSError):
             target.shutdown(socket.SHUT_WR)
 
@@ -393,7 +441,8 @@
         try:
             await future
         finally:
-            loop.remove_reader(sock)
+            if sock.fileno() >= 0:
+                loop.remove_reader(sock)
 
 
 @dataclass
