--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,10 +10,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import peers_2 as peers
 
-CALLS_A_SECOND = 40
+CALLS_A_SECOND = 50
 CLASSES = [("general", 1.5, 9.0, 1.0), ("urgent", 1.2, 6.0, 6.0)]
-ONE_WAY_S = 0.02  # the brief has 10 to 22 ms
-RESETS, INTERVAL_S = 12, 1.5
+ONE_WAY_S = 0.022  # the brief has 10 to 22 ms
+RESETS, INTERVAL_S = 20, 1.1
 HOLD_S = 6.0
 
 
