Keep connections that wait for a setup server that hangs until it has spoken

Cause: a process that hangs accepts nothing, its machine does. Each further connection closed the one before, which was read for 2 s more. The server goes on, writes the releases to the connection of their set-up and once more to the first connection that waited: both had been closed here. The audit took a connection that was opened for one on which the server had spoken.

Ruled out: that keeping only the connections of the calls is enough, since the server may say a release on the first that waits alone.

Change: a replaced connection is closed once its server has spoken on one that was opened later, which shows that it has accepted the older ones. An audit counts from the server's first word.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -204,7 +204,9 @@
     counts: list[int] = []
     assert rig.switch is not None
     monkeypatch.setattr(
-        rig.switch.connections.audit, "link_opened", lambda state: counts.append(len(state.all_links()))
+        rig.switch.connections.audit,
+        "server_spoke",
+        lambda state, link: counts.append(len(state.all_links())),
     )
     for _ in range(8):
         kept.append(server.accept())
@@ -476,3 +478,23 @@
     audit_peer = server.accept()
     audit_peer.send(Release(call, Reason.CLEARED))
     assert caller.receive(Release, call).reason is Reason.CLEARED
+
+
+def test_releases_of_a_server_that_hung_are_heard_wherever_it_says_them(
+    connected: ConnectedRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against calls never released: a server goes on, and speaks where nobody listens."""
+    rig, server, server_peer, caller = connected
+    own, repeated = (set_up_call(rig, server_peer, caller) for _ in range(2))
+    assert rig.switch is not None
+    state = rig.switch.shared.servers["s-1"]
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 20 * MS)
+    # The process hangs: its machine accepts connections for it, one after the other, and nothing is said.
+    wait_for(lambda: counter(rig, "dials") >= 2 * server_connections.MAX_LINKS)
+    monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
+    assert len(state.all_links()) <= server_connections.MAX_LINKS
+    server_peer.send(
+        Release(own, Reason.CLEARED)
+    )  # on the connection of its set-up, still open to the server
+    server.accept().send(Release(repeated, Reason.CLEARED))  # on the one that has waited for longest
+    assert {caller.receive(Release).call for _ in range(2)} == {own, repeated}
--- a/wickstep/net/call_audit.py
+++ b/wickstep/net/call_audit.py
@@ -1,9 +1,11 @@
-"""The audit of calls that stand at a server which may be writing their releases into a dead connection.
-
-A connection that dies without a sign stays open for its server. The server goes on writing the releases of
-calls there, and repeats them only on the next connection that is opened. So while such calls stand, further
-connections are opened, spaced and bounded; each tells what has ended before it. This file owns which servers
-are audited. When they are is decided by `audit_schedule`. Times are microseconds.
+"""The audit of calls that stand at a server which may have written their releases into a dead connection.
+
+A server repeats the releases of calls only on the next connection that is opened. So however a connection
+has ended, unless its server closed it in order: what calls stand there is uncertain until the server has
+spoken on a connection that was opened later. One that died without a sign stays open for its server, which
+goes on writing there: while calls stand, further connections are opened again and again, spaced and bounded.
+This file owns which servers are audited. When they are is decided by `audit_schedule`. Times are
+microseconds.
 """
 
 from __future__ import annotations
@@ -11,7 +13,7 @@
 import random
 from collections.abc import Callable
 
-from wickstep.net.audit_schedule import AuditSchedule
+from wickstep.net.audit_schedule import MIN_INTERVAL, AuditSchedule
 from wickstep.net.links import Link
 from wickstep.net.state import Server, SharedState, log
 from wickstep.net.units import MS, SECOND
@@ -33,8 +35,8 @@
         self.shared = shared
         max_parallel = max(shared.config.sockets // DESCRIPTOR_DIVISOR, MIN_PARALLEL)
         self.schedule = AuditSchedule(random.Random(shared.config.seed ^ 0xA0D17), max_parallel)
-        # Servers that repeat what could not be read, once a further connection is there.
-        self._hosts_with_spoilt_links: set[str] = set()
+        # By host: when a connection ended whose server knows, and may have written what was not read.
+        self._broken_at: dict[str, int] = {}
         self._scheduled_for = 0  # when `run` is called next, if that is still to come
 
     def suspect(self, host: str) -> None:
@@ -47,24 +49,24 @@
         self.shared.hosts_with_lost_links.add(host)
         self.suspect(host)
 
-    def link_spoilt(self, server: Server, link: Link) -> None:
-        """A connection was closed over what came on it, after another one was opened.
+    def link_broken(self, host: str) -> None:
+        """A connection to this server has ended, and not all that was written there may have been read.
 
-        The server learns of it, and repeats what was not read there on one further connection.
+        The server learns of it, and repeats that on the next connection alone.
         """
-        if any(attempt.stands and attempt.link is link for attempt in server.attempts.values()):
-            self._hosts_with_spoilt_links.add(server.host)
-            self.suspect(server.host)
+        self._broken_at[host] = self.shared.now
+        self.suspect(host)
 
     def process_ended(self, host: str) -> None:
         """The process of this server has ended, and its connections with it."""
         self.shared.hosts_with_lost_links.discard(host)
-        self._hosts_with_spoilt_links.discard(host)
+        self._broken_at.pop(host, None)
         self.schedule.remove(host)
 
-    def link_opened(self, server: Server) -> None:
-        """A connection was opened, for whatever reason: the server tells there what has ended."""
-        self._hosts_with_spoilt_links.discard(server.host)
+    def server_spoke(self, server: Server, link: Link) -> None:
+        """The server has begun to speak on a connection, where it repeats what has ended before."""
+        if self._broken_at.get(server.host, link.opened_at) < link.opened_at:
+            del self._broken_at[server.host]
         self.schedule.told(server.host, self.shared.now)
 
     def dial_failed(self, server: Server) -> None:
@@ -89,7 +91,10 @@
             server = shared.servers.get(host)
             if server is None or not self._is_suspect(server):
                 self.schedule.remove(host)
-            elif self._holds_dead_link(server) and self.has_untold_calls(server):
+            elif not self.has_untold_calls(server):
+                self._broken_at.pop(host, None)  # calls set up from now on are not concerned
+                self.schedule.told(host, shared.now)
+            elif self._holds_dead_link(server) and not self._awaits_server(server):
                 log.info("%s: opening a further connection to hear which calls have ended", host)
                 self.open_link(server)
             else:
@@ -97,17 +102,21 @@
         self._schedule_run()
 
     def _is_suspect(self, server: Server) -> bool:
-        return self._has_lost_releases(server) or bool(server.replaced_links or server.lingering_links)
+        return self.has_lost_releases(server) or bool(server.replaced_links or server.lingering_links)
 
-    def _has_lost_releases(self, server: Server) -> bool:
-        return (
-            server.host in self.shared.hosts_with_lost_links or server.host in self._hosts_with_spoilt_links
-        )
+    def has_lost_releases(self, server: Server) -> bool:
+        """Whether the server may have written releases, or go on writing them, that are not read."""
+        return server.host in self.shared.hosts_with_lost_links or server.host in self._broken_at
+
+    def _awaits_server(self, server: Server) -> bool:
+        """Whether the server will speak on a connection that is open, if it has a process that goes on."""
+        opened_since = self.shared.now - MIN_INTERVAL
+        return any(not link.has_spoken and link.opened_at > opened_since for link in server.all_links())
 
     def _holds_dead_link(self, server: Server) -> bool:
         """Whether the server may take a dead connection for open; a slow server's is still heard."""
         heard_since = self.shared.now - MIN_SILENCE
-        return self._has_lost_releases(server) or any(
+        return self.has_lost_releases(server) or any(
             link.heard_at < heard_since for link in (*server.replaced_links, *server.lingering_links)
         )
 
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -111,10 +111,16 @@
     """How a connection has ended, by what its peer knows of it."""
 
     CLOSED = "closed by its peer"  # in order, after all that the peer had written
-    BROKEN = "reset"  # the peer knows, and may not have read all
+    PROCESS_ENDED = "given up with its peer's process"  # and with all that the process knew
+    BROKEN = "reset"  # the peer knows; what either had written there last may be lost
     SPOILT = "closed over what came on it"  # the peer learns of it; what it has written there is lost
     UNNOTICED = "given up on this side"  # the peer may take it for open, and go on writing into it
 
+    @property
+    def may_have_lost_input(self) -> bool:
+        """Whether the peer, which goes on, may have written messages there that were not read."""
+        return self in (LinkEnd.BROKEN, LinkEnd.SPOILT, LinkEnd.UNNOTICED)
+
 
 @dataclass(slots=True, frozen=True)
 class Closed:
@@ -171,6 +177,7 @@
         self.first_byte_timeout_ms = 0  # silence allowed before the first byte; 0: no limit
         self.is_closing = False  # set by the loop: a close was requested, further input is not taken in
         self.inbox = inbox
+        self.opened_at = 0  # set by the loop: when it took the connection into use
         self.heard_at = 0  # set by the loop: when it processed the last message
         self.has_spoken = False  # set by the loop: whether there was a message
         self.probed_at = 0  # set by the loop: when it last sent a probe here
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -61,21 +61,35 @@
 
     def connect(self, server: Server, additional: bool = False) -> None:
         """Open a connection to a server that has none or, if `additional`, one that replaces it."""
-        if additional or server.link is None:
+        if server.link is None or (additional and self._may_open_another(server)):
             server.dials_for_audit = False  # an audit's connection that is being dialled serves as well
             self._dial(server)
 
     def connect_for_audit(self, server: Server) -> None:
         """Open a further connection, which replaces none: there the server tells which calls have ended."""
+        if not self._may_open_another(server):
+            return
         if server.link is not None and not server.dialing:
-            self._make_room(server, MAX_LINKS - 1)
             server.dials_for_audit = True
             self.shared.counters["audit_dials"] += 1
         self._dial(server)
 
+    def _may_open_another(self, server: Server) -> bool:
+        """Whether a further connection would tell anything about a server that may hang.
+
+        A process that hangs accepts nothing: connections wait for it, and once it goes on it repeats releases
+        on the first of them. Where all that are permitted wait, only the newest is exchanged, now and then,
+        in case that each of them is dead.
+        """
+        open_links = server.all_links()
+        if len(open_links) < MAX_LINKS or any(map(server.has_spoken_since, open_links)):
+            return True
+        return self.shared.now - max(link.opened_at for link in open_links) >= SILENCE_TIMEOUT
+
     def _dial(self, server: Server) -> None:
         if not server.dialing and server.state is not ServerState.GONE:
             server.dialing = True
+            self._make_room(server)
             self.shared.counters["dials"] += 1
             links.dial(
                 server.address, self.shared.config.dial_timeout, self.shared.inbox, server, self.reader
@@ -100,12 +114,14 @@
         if server.state is ServerState.GONE:
             return link.close()
         link.heard_at = self.shared.now
+        link.opened_at = max([self.shared.now, *(other.opened_at + 1 for other in server.all_links())])
         if is_audit:
-            return self._open_audit_link(link, server)
+            server.audit_links.append(link)
+            self.shared.counters["audit_links"] += 1
+            return
         if server.link is not None:
             server.replaced_links.append(server.link)
             self.shared.counters["links_replaced"] += 1
-        self.audit.link_opened(server)
         if server.replaced_links:
             self.audit.suspect(server.host)
         server.releases.link_opened(link, self.shared.now)
@@ -113,45 +129,59 @@
             self.on_first_link(server, link)
         server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
         self.attempts.send_waiting(server)
-        self.retire_replaced_links(server)
         if server.replaced_links and self.shared.config.settings.may_probe:
             # An answer shows that the server is well and only the old connection is dead.
             self.probes.probe(server, link)
 
-    def _open_audit_link(self, link: Link, server: Server) -> None:
-        """Listen on a further connection for a while. No set-up is sent there, and none is lost with it."""
-        server.audit_links.append(link)
-        self.shared.counters["audit_links"] += 1
-        self.audit.link_opened(server)
-        closes_at = self.shared.now + AUDIT_LINK_TIME
+    def on_first_message(self, link: Link, server: Server) -> None:
+        """The server has accepted a connection, and all that were opened before it: those can be closed."""
+        server.spoken_link_opened_at = max(server.spoken_link_opened_at, link.opened_at)
+        self.audit.server_spoke(server, link)
+        self.retire_replaced_links(server)
+        for audit_link in server.audit_links:
+            if audit_link is link:
+                self._close_audit_link(link, self.shared.now + AUDIT_LINK_TIME)
+            elif not audit_link.has_spoken and server.has_spoken_since(audit_link):
+                self._close_audit_link(audit_link, self.shared.now)
+
+    def _close_audit_link(self, link: Link, closes_at: int) -> None:
+        """Listen on a further connection until then. No set-up was sent there, and none is lost with it."""
         self.shared.schedule(closes_at, partial(link.finish, keep_reading=True))
         self.shared.schedule(closes_at + LINGER_TIME, link.close)
 
-    def _make_room(self, server: Server, max_links: int) -> None:
-        """Close the oldest connections that are only read, until there are no more than `max_links`."""
-        for spare_links in (server.lingering_links, server.audit_links):
-            while spare_links and len(server.all_links()) > max_links:
-                self._give_up(server, spare_links.pop(0))
+    def _make_room(self, server: Server) -> None:
+        """Close connections until one more is permitted."""
+        while len(server.all_links()) >= MAX_LINKS:
+            link = self._choose_surplus_link(server)
+            for other_links in (server.replaced_links, server.lingering_links, server.audit_links):
+                if link in other_links:
+                    other_links.remove(link)
+            link.close()  # its attempts end when the end of the connection is received
+            self.audit.link_lost(server.host)
+
+    def _choose_surplus_link(self, server: Server) -> Link:
+        """Which connection to close: the oldest that the server has gone past, else the newest that waits.
 
-    def _give_up(self, server: Server, link: Link) -> None:
-        """Close a connection to which the server may still write."""
-        link.close()
-        self.audit.link_lost(server.host)
+        A server that hangs will write to the connections of its calls, and to the first that waits for it.
+        """
+        candidates = [*server.lingering_links, *server.audit_links, *server.replaced_links]
+        for link in candidates:
+            if server.has_spoken_since(link):
+                return link
+        unspoken = [link for link in candidates if not link.has_spoken]
+        return max(unspoken, key=lambda link: link.opened_at) if unspoken else candidates[0]
 
     def retire_replaced_links(self, server: Server) -> None:
-        """Close replaced connections with nothing in flight, and the oldest ones if there are too many."""
+        """Close replaced connections with nothing in flight, once their server has spoken on a later one.
+
+        Until then it may hang, and will write to them when it goes on.
+        """
         links_in_use = {a.link for a in server.attempts.values() if not a.stands}
-        while server.replaced_links and (
-            len(server.replaced_links) >= MAX_LINKS - 1 or server.replaced_links[0] not in links_in_use
-        ):
-            link = server.replaced_links.pop(0)
-            if link in links_in_use:
-                link.finish()  # its attempts end when the end of the connection is received
-                self.audit.link_lost(server.host)
-            else:
+        for link in [*server.replaced_links]:
+            if link not in links_in_use and server.has_spoken_since(link):
+                server.replaced_links.remove(link)
                 link.finish(keep_reading=True)
                 self.linger(server, link)
-        self._make_room(server, MAX_LINKS)
 
     def linger(self, server: Server, link: Link) -> None:
         """Read a connection closed for writing for a while: releases of its calls may be on the way.
@@ -203,15 +233,16 @@
             if link in other_links:
                 other_links.remove(link)
         if link.process_ended:
-            end = LinkEnd.BROKEN
+            end = LinkEnd.PROCESS_ENDED
         if end is LinkEnd.UNNOTICED:
             self.audit.link_lost(server.host)
-        elif end is LinkEnd.SPOILT and server.link is not None:
-            self.audit.link_spoilt(server, link)
+        elif end is LinkEnd.SPOILT:
+            self.audit.link_broken(server.host)
         was_read = end is LinkEnd.CLOSED and link.is_half_closed
         server.releases.link_ended(link, was_read, server.link, self.shared.now)
-        may_stand = end in (LinkEnd.UNNOTICED, LinkEnd.SPOILT)
-        self.attempts.end_attempts_on(link, server, Outcome.RESET, released=may_stand)
+        self.attempts.end_attempts_on(
+            link, server, Outcome.RESET, released=end is not LinkEnd.BROKEN and end.may_have_lost_input
+        )
         if server.link is not None:
             return self.attempts.send_held(server)  # it was replaced: the backoff must not grow
         if self.shared.now - server.linked_at < SECOND:
@@ -351,9 +382,10 @@
         return open_links
 
     def note_lost_links(self) -> None:
-        """Note the servers that have not ended their connections since `finish`."""
+        """Note the servers that have not ended their connections since `finish`, or lost one before."""
         for server in self.shared.servers.values():
-            if any(link.end is LinkEnd.UNNOTICED for link in server.all_links()):
+            has_open_link = any(link.end is LinkEnd.UNNOTICED for link in server.all_links())
+            if has_open_link or self.audit.has_lost_releases(server):
                 self.audit.link_lost(server.host)
 
     def _links_before(self, server: Server, cutoff: int) -> list[Link]:
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -252,10 +252,13 @@
         match item:
             case Received(link=link, message=message, shares=shares, at=received_at):
                 link.mark_processed(shares)
+                is_first = not link.has_spoken
                 link.has_spoken = True
                 if not link.is_closing:
                     link.heard_at = self.shared.now
                 if isinstance(link.owner, Server):
+                    if is_first:
+                        self.connections.on_first_message(link, link.owner)
                     self.handle_server_message(link.owner, link, message)
                 else:
                     self.handle_caller_message(link, message, received_at)
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -61,12 +61,19 @@
     releases: ServerReleases = field(default_factory=ServerReleases)  # that it may not have received
     dials_for_audit: bool = False  # the connection that is being dialled only tells which calls have ended
     audit_links: list[Link] = field(default_factory=list)  # such connections, until their end
+    # When the latest of the connections was opened on which this server has spoken. It accepts them in their
+    # order, so that it has accepted all that were opened before.
+    spoken_link_opened_at: int = 0
 
     def all_links(self) -> list[Link]:
         """Connections to it, those included that are only read."""
         current = [self.link] if self.link is not None else []
         return [*current, *self.replaced_links, *self.lingering_links, *self.audit_links]
 
+    def has_spoken_since(self, link: Link) -> bool:
+        """Whether the server has spoken on a connection that was opened later than this one."""
+        return self.spoken_link_opened_at > link.opened_at
+
     def release_call(self, release: Release, now: int, set_up_link: Link | None = None) -> None:
         """Send a caller's release of a call that may stand here, now or once a connection is there.
 
