Release attempts of a reset connection before their calls are sent again

Callers saw: nothing.

Cause: on_link_closed released attempts only where a connection ended unnoticed or spoilt. A reset was taken for proof that the server had given them up; it gives up what it has not answered.

Ruled out: a late answer taken for one to the second attempt, which has a connection of its own.

Change: attempts of a connection that may have lost input are released on the next one. A further attempt at another server waits until the first has received that, for half of the shortest aim at most, and no longer than until a connect to it fails. Ruled out: waiting without a limit, since nobody can tell a server that takes no connection.

--- a/benchmarks/audits.py
+++ b/benchmarks/audits.py
@@ -97,8 +97,8 @@
     result = audit_servers(servers, sockets, seed=1, once=True)
     per_window = Counter(at // WINDOW for at, _ in result.dials)
     click.echo(
-        f"{servers:5} servers reset, {sockets} descriptors, one softswitch: {len(result.dials)} connections in"
-        f" all, the last after {max(at for at, _ in result.dials) / SECOND:.1f} s; busiest 100 ms"
+        f"{servers:5} servers reset, {sockets} descriptors, one softswitch: {len(result.dials)} connections,"
+        f" the last after {max(at for at, _ in result.dials) / SECOND:.1f} s; busiest 100 ms"
         f" {max(per_window.values())}, {result.max_open} open at once"
     )
 
--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -11,24 +11,31 @@
 import pytest
 
 from wickstep import brain
+from wickstep import interface as api
 from wickstep.net import Answer, GroupState, Reason, Release, ReleaseComplete, SetUp
 from wickstep.net.state import Server as ServerState
+from wickstep.net.units import MS
 
 from .test_softswitch import (
     LINES,
     ConnectedRig,
     Peer,
     Rig,
+    Server,
     connected,
     counter,
     keep_connections,
+    list_line,
     rig,
     set_up_call,
     wait_for,
+    wait_for_connection,
 )
 
 __all__ = ["connected", "rig"]  # fixtures
 
+DRAINING = api.ServerState.DRAINING
+RESET_WAIT = 600 * MS  # longer than the pause before a call is sent again
 FIRST, SECOND_RUN = b"description of the first run", b"description of the second run"
 
 
@@ -159,3 +166,81 @@
     peer.send(ReleaseComplete(call))
     set_up_call(rig, peer, caller)
     assert (counter(rig, "set_ups_sent"), server_state(rig).held) == (2, [])
+
+
+@pytest.fixture
+def two_servers(rig: Rig) -> tuple[Rig, list[Server], list[Peer], Peer]:
+    """Two servers with their connections, and a caller. No connection is replaced, no wait ends by time."""
+    servers = [Server(), Server()]
+    rig.open(list_line(servers[0], "s-1", 0), list_line(servers[1], "s-2", 1))
+    peers = [server.accept() for server in servers]
+    for host in ("s-1", "s-2"):
+        wait_for_connection(rig, host)
+    assert rig.switch is not None
+    rig.switch.shared.min_aim = 10**12
+    return rig, servers, peers, rig.caller()
+
+
+def reset_with_attempt(
+    rig: Rig, servers: list[Server], peer: Peer, caller: Peer, listening: bool = True
+) -> int:
+    """A call whose attempt at s-1 ends with its connection, and which goes to s-2: s-1 drains from now on."""
+    call = rig.call(caller)
+    peer.receive(SetUp, call)
+    rig.bulletin.publish(list_line(servers[0], "s-1", 0, "Terminating"))
+    wait_for(lambda: server_state(rig).state is DRAINING)
+    if not listening:
+        servers[0].sock.close()
+    peer.reset()
+    return call
+
+
+def test_an_attempt_is_released_at_its_server_if_its_connection_is_reset(connected: ConnectedRig) -> None:
+    """Guards against a call that runs twice: it stood, and its answer was lost with the connection."""
+    rig, server, peer, caller = connected
+    call = rig.call(caller)
+    peer.receive(SetUp, call)
+    peer.reset()
+    new_peer = server.accept()
+    assert new_peer.receive(object, call) == Release(call, Reason.CLEARED)  # the first message about it
+    answer_second_attempt(new_peer, caller, call)
+
+
+@pytest.mark.parametrize("proof", ["release confirmed", "process gone"])
+def test_an_attempt_elsewhere_waits_until_one_that_may_stand_is_released(
+    two_servers: tuple[Rig, list[Server], list[Peer], Peer], proof: str
+) -> None:
+    """Guards against a call that stands at two servers: the second was asked before the first was told."""
+    rig, servers, (first, second), caller = two_servers
+    call = reset_with_attempt(rig, servers, first, caller)
+    new_peer = servers[0].accept()
+    new_peer.receive(Release, call)
+    wait_for(lambda: counter(rig, "attempts_held") == 1)
+    other_call = rig.call(caller)
+    assert second.receive(SetUp).call == other_call  # the first call is not there before it
+    if proof == "release confirmed":
+        new_peer.send(ReleaseComplete(call))
+    else:
+        rig.bulletin.publish(list_line(servers[0], "s-1", 0, "Gone"))
+    answer_second_attempt(second, caller, call)
+
+
+def test_an_attempt_elsewhere_does_not_wait_for_a_server_that_takes_no_connection(
+    two_servers: tuple[Rig, list[Server], list[Peer], Peer],
+) -> None:
+    """Guards against calls that fail with a server that has died: nobody can tell it of their end."""
+    rig, servers, (first, second), caller = two_servers
+    call = reset_with_attempt(rig, servers, first, caller, listening=False)
+    answer_second_attempt(second, caller, call)
+
+
+def test_an_attempt_elsewhere_waits_for_a_limited_time(
+    two_servers: tuple[Rig, list[Server], list[Peer], Peer],
+) -> None:
+    """Guards against calls that fail at a server which confirms nothing."""
+    rig, servers, (first, second), caller = two_servers
+    assert rig.switch is not None
+    rig.switch.shared.min_aim = 2 * RESET_WAIT
+    call = reset_with_attempt(rig, servers, first, caller)
+    servers[0].accept().receive(Release, call)
+    answer_second_attempt(second, caller, call)
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -20,7 +20,7 @@
 from wickstep.net.links import Link
 from wickstep.net.route import RouteStage
 from wickstep.net.server_connections import ServerConnections
-from wickstep.net.state import Attempt, Server, SharedState, log
+from wickstep.net.state import Attempt, Call, Server, SharedState, log
 from wickstep.net.units import MS, NS_PER_US
 from wickstep.spread.reasons import SendReason, classify_send
 
@@ -64,7 +64,7 @@
             attempt.timeout_at, partial(self.expire_attempt, call.controller_id, attempt.index)
         )
         self.send_set_up(attempt)
-        if attempt in server.held:
+        if attempt in server.held or attempt.awaits is not None:
             self.shared.counters["attempts_held"] += 1
 
     def send_set_up(self, attempt: Attempt) -> None:
@@ -81,6 +81,8 @@
             return self.route.report_end(
                 attempt, Outcome.MOOT, call_over=call.call_id not in self.shared.open_calls
             )
+        if self._must_await_release(attempt):
+            return
         wait_ms = max((attempt.expires_at - self.shared.now) // MS, 1)
         forwarded = SetUp(
             call.call_id, call.set_up.klass, wait_ms, call.set_up.number, call.set_up.description
@@ -110,6 +112,40 @@
             if attempt.link is not None:
                 attempt.sent_at = self.shared.now
 
+    def _must_await_release(self, attempt: Attempt) -> bool:
+        """Whether an earlier attempt may stand at another server, which has yet to receive its release.
+
+        At the same server the release goes ahead of the set-up, on the same connection.
+        """
+        call = attempt.call
+        server = call.may_stand_at
+        if server is None or server is attempt.server or self._is_release_received(call, server):
+            return False
+        attempt.awaits = server
+        server.awaiting_release.append(attempt)
+        self.shared.schedule(call.may_stand_until, partial(self.send_awaiting, server))
+        return True
+
+    def _is_release_received(self, call: Call, server: Server) -> bool:
+        """Whether this server has received the release of a call, or the time to wait for that is over."""
+        return call.call_id not in server.releases or self.shared.now >= call.may_stand_until
+
+    def send_awaiting(self, server: Server) -> None:
+        """Send the attempts elsewhere that need not wait for a release at this server any longer."""
+        for attempt in [*server.awaiting_release]:
+            if self._is_release_received(attempt.call, server):
+                server.awaiting_release.remove(attempt)
+                attempt.call.may_stand_at = attempt.awaits = None
+                self.send_set_up(attempt)
+                if attempt.link is not None:
+                    attempt.sent_at = self.shared.now
+
+    def end_release_waits(self, server: Server) -> None:
+        """No connection to this server comes up: attempts elsewhere wait no longer for its release."""
+        for attempt in server.awaiting_release:
+            attempt.call.may_stand_until = self.shared.now
+        self.send_awaiting(server)
+
     def send_waiting(self, server: Server) -> None:
         """Send the attempts that waited for a connection."""
         waiting, server.waiting = server.waiting, []
@@ -130,7 +166,10 @@
         self.shared.recorder.attempt_over(attempt.call.call_id)
         attempt.server.attempts.pop(attempt.call.call_id, None)
         self.shared.standing.pop(attempt.call.call_id, None)
-        for unsent in (attempt.server.waiting, attempt.server.held):
+        unsent_lists = [attempt.server.waiting, attempt.server.held]
+        if attempt.awaits is not None:
+            unsent_lists.append(attempt.awaits.awaiting_release)
+        for unsent in unsent_lists:
             if attempt in unsent:
                 unsent.remove(attempt)
         if attempt.call.attempt is attempt:
@@ -186,27 +225,31 @@
                 attempt, Outcome.CONNECT_FAILED, call_over=attempt.call.call_id not in self.shared.open_calls
             )
 
-    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome, released: bool) -> None:
+    def end_attempts_on(
+        self, link: Link, server: Server, outcome: Outcome, may_stand: bool, is_reachable: bool
+    ) -> None:
         """End the attempts in flight on a connection. An answer that was on its way there is lost.
 
-        With `released` the server may take the set-ups for open or answered: it is told on another one.
+        If they may stand at their server, it is sent their releases on another connection; if the server is
+        reachable there, no further attempt of their calls is sent elsewhere before it has received them.
         """
         for attempt in [a for a in server.attempts.values() if a.link is link and not a.stands]:
-            self.book.abandoned_ids.add(attempt.call.call_id)
+            call = attempt.call
+            self.book.abandoned_ids.add(call.call_id)
             self.remove_attempt(attempt)
-            if released:
-                server.release_call(Release(attempt.call.call_id, Reason.CLEARED), self.shared.now)
-            self.route.report_end(
-                attempt, outcome, call_over=attempt.call.call_id not in self.shared.open_calls
-            )
+            if may_stand:
+                server.release_call(Release(call.call_id, Reason.CLEARED), self.shared.now)
+            if may_stand and is_reachable:
+                call.may_stand_at = server
+                call.may_stand_until = self.shared.now + self.shared.min_aim // 2
+            self.route.report_end(attempt, outcome, call_over=call.call_id not in self.shared.open_calls)
 
     def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None:
         """End the calls and attempts of a server process that served until `cutoff` and is gone.
 
         If it was only cut off it is told of their end, should it come back.
         """
-        unsent = [*server.waiting, *server.held]
-        lost = [a for a in server.attempts.values() if a.sent_at <= cutoff and a not in unsent]
+        lost = [a for a in server.attempts.values() if a.link is not None and a.sent_at <= cutoff]
         if lost:
             log.warning(
                 "server %s (%s): %s; %d calls affected", server.host, server.state.value, cause, len(lost)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -42,7 +42,11 @@
     def send_waiting(self, server: Server) -> None: ...
     def send_held(self, server: Server) -> None: ...
     def fail_waiting(self, server: Server) -> None: ...
-    def end_attempts_on(self, link: Link, server: Server, outcome: Outcome, released: bool) -> None: ...
+    def send_awaiting(self, server: Server) -> None: ...
+    def end_release_waits(self, server: Server) -> None: ...
+    def end_attempts_on(
+        self, link: Link, server: Server, outcome: Outcome, may_stand: bool, is_reachable: bool
+    ) -> None: ...
     def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None: ...
 
 
@@ -208,6 +212,7 @@
                 # there. The bulletin may report it only once it is back, which is too late for the callers.
                 self._drop_silent_machine(server)
             return
+        self.attempts.end_release_waits(server)
         server.refusals += failure.refused and server.link_lost
         if server.refusals == DEAD_AFTER_REFUSALS:
             # No process listens after the reset: it has died, and its calls with it. The bulletin reports
@@ -240,9 +245,8 @@
             self.audit.link_broken(server.host)
         was_read = end is LinkEnd.CLOSED and link.is_half_closed
         server.releases.link_ended(link, was_read, server.link, self.shared.now)
-        self.attempts.end_attempts_on(
-            link, server, Outcome.RESET, released=end is not LinkEnd.BROKEN and end.may_have_lost_input
-        )
+        may_stand, is_reachable = end.may_have_lost_input, end is not LinkEnd.UNNOTICED
+        self.attempts.end_attempts_on(link, server, Outcome.RESET, may_stand, is_reachable)
         if server.link is not None:
             return self.attempts.send_held(server)  # it was replaced: the backoff must not grow
         if self.shared.now - server.linked_at < SECOND:
@@ -261,7 +265,7 @@
             # By connection: when its oldest set-up in flight was sent.
             oldest_sent: dict[Link | None, int] = {}
             for attempt in server.attempts.values():
-                if not attempt.stands:
+                if not attempt.stands and attempt.awaits is None:
                     link = attempt.link or server.link  # an attempt that is held waits for a word on this one
                     oldest_sent[link] = min(oldest_sent.get(link, now), attempt.sent_at)
             idle = idle and not oldest_sent and not server.replaced_links
@@ -342,7 +346,8 @@
             server.replaced_links.remove(link)
         link.close(keep_reading=True)
         self.linger(server, link)
-        self.attempts.end_attempts_on(link, server, outcome, released=True)
+        is_reachable = outcome is Outcome.RESET  # by its successor
+        self.attempts.end_attempts_on(link, server, outcome, True, is_reachable)
 
     def drop_process(self, server: Server, cutoff: int, cause: str) -> None:
         """End the connections and calls of a server process that served until `cutoff` and is gone."""
@@ -351,6 +356,7 @@
             link.process_ended = True
         self._drop_links(server, cutoff)
         self.attempts.send_held(server)
+        self.attempts.send_awaiting(server)
         self.audit.process_ended(server.host)
         if server.state is ServerState.GONE:
             self.attempts.fail_waiting(server)
--- a/wickstep/net/server_releases.py
+++ b/wickstep/net/server_releases.py
@@ -46,6 +46,10 @@
     def __len__(self) -> int:
         return len(self._kept)
 
+    def __contains__(self, call: int) -> bool:
+        """Whether the server may not have received the release of this call."""
+        return call in self._kept
+
     def releases(self) -> list[Release]:
         """The releases that the server may not have received."""
         return [kept.release for kept in self._kept.values()]
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -336,6 +336,8 @@
                 link.close()
         if server.held:
             self.send.send_held(server)
+        if server.awaiting_release:
+            self.send.send_awaiting(server)
 
     def update_servers(self, update: ListUpdate) -> None:
         """Apply a change of the list of setup servers."""
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -57,6 +57,8 @@
     waiting: list[Attempt] = field(default_factory=list)  # attempts waiting for a connection
     # Attempts waiting until the server has received the release of an earlier one of their call.
     held: list[Attempt] = field(default_factory=list)
+    # Attempts elsewhere, waiting until this server has received the release of an earlier one of their call.
+    awaiting_release: list[Attempt] = field(default_factory=list)
     attempts: dict[int, Attempt] = field(default_factory=dict)  # by the call's id: in flight or standing
     releases: ServerReleases = field(default_factory=ServerReleases)  # that it may not have received
     dials_for_audit: bool = False  # the connection that is being dialled only tells which calls have ended
@@ -92,6 +94,7 @@
     timeout_at: int  # earlier end, where the server owes a message sooner
     link: Link | None = None  # None while it waits for a connection, or for the release of an earlier attempt
     stands: bool = False
+    awaits: Server | None = None  # the server that has yet to receive the release of an earlier attempt
 
 
 @dataclass(slots=True, eq=False)
@@ -107,6 +110,9 @@
     tenant: int = -1  # index in the settings; -1: none
     attempt_count: int = 0
     attempt: Attempt | None = None  # the one that is in flight or stands
+    # A server where an earlier attempt may stand: its connection broke, and an answer may be lost with it.
+    may_stand_at: Server | None = None
+    may_stand_until: int = 0  # when that no longer keeps another attempt from being sent
     table: object = None  # of number analysis, as it was when the call was taken in
 
 
