Close a replaced connection for writing at once, and read it until its server spoke

Change: it is closed for writing when it is replaced, as before, and read until 2 s after the server has spoken on a connection that was opened later. A release of a call that stands is heard on any connection that was opened later than that of its set-up, also on one that has been replaced itself: it cannot be about an earlier attempt. The test of a release on a replaced connection is as it was.

Measured: test_releases_of_a_server_that_hung_are_heard_wherever_it_says_them failed without the second part (one release of two dropped) and passes with it.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -983,12 +983,7 @@
     link = rig.switch.shared.servers["s-1"].link
     assert link is not None
     may_read, read_available = threading.Event(), link.read_available
-
-    def read_later() -> bool:
-        """Leave this connection unread; the common reader goes on to the others, which must be heard."""
-        return not may_read.wait(0.001) or read_available()
-
-    setattr(link, "read_available", read_later)  # noqa: B010
+    setattr(link, "read_available", lambda: may_read.wait(TIMEOUT_S) and read_available())  # noqa: B010
     if release_sent == "before replacement":  # and still unread then
         server_peer.send(Release(call, Reason.CLEARED))
     new_peer = replace_connection(rig, server)
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -210,6 +210,10 @@
         sock.settimeout(None)
         self.wire_codec.bind(self)
 
+    def precedes(self, other: Link | None) -> bool:
+        """Whether this connection was opened before another one to the same server."""
+        return other is not None and self.opened_at < other.opened_at
+
     def start(self, timeout_s: float = 0.0) -> None:
         """Start the reader; RuntimeError if the machine has no thread free within `timeout_s` seconds."""
         start_thread(self.read, timeout_s)
--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -75,7 +75,8 @@
         if attempt in server.held and message.reason is Reason.CLEARED:
             self.send.remove_attempt(attempt)
             return self._end_unanswered_call(attempt, message)  # the earlier attempt had been answered
-        if (not attempt.stands or link in server.lingering_links) and self._is_stale(attempt, link):
+        is_older_link = link in server.lingering_links and link.precedes(attempt.link)
+        if (not attempt.stands or is_older_link) and self._is_stale(attempt, link):
             self.shared.counters["strays"] += 1
             return
         self.send.remove_attempt(attempt)
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -32,7 +32,8 @@
 IDLE_WATCH_INTERVAL = 200 * MS  # the same while nothing is in flight
 MAX_REDIAL_DELAY = 2 * SECOND  # of the exponential backoff between connects to one server
 MAX_LINKS = 4  # connections to one server, the replaced ones included
-# A replaced connection is still read for this long: its server may write to it until it notices the end.
+# A replaced connection is still read for this long once its server has spoken on a later one: it may write to
+# it until it notices the end.
 LINGER_TIME = 2 * SECOND
 
 
@@ -133,6 +134,7 @@
             self.on_first_link(server, link)
         server.link, server.linked_at, server.link_lost, server.refusals = link, self.shared.now, False, 0
         self.attempts.send_waiting(server)
+        self.retire_replaced_links(server)
         if server.replaced_links and self.shared.config.settings.may_probe:
             # An answer shows that the server is well and only the old connection is dead.
             self.probes.probe(server, link)
@@ -141,7 +143,8 @@
         """The server has accepted a connection, and all that were opened before it: those can be closed."""
         server.spoken_link_opened_at = max(server.spoken_link_opened_at, link.opened_at)
         self.audit.server_spoke(server, link)
-        self.retire_replaced_links(server)
+        for lingering_link in server.lingering_links:
+            self._close_if_passed(server, lingering_link)
         for audit_link in server.audit_links:
             if audit_link is link:
                 self._close_audit_link(link, self.shared.now + AUDIT_LINK_TIME)
@@ -176,13 +179,10 @@
         return max(unspoken, key=lambda link: link.opened_at) if unspoken else candidates[0]
 
     def retire_replaced_links(self, server: Server) -> None:
-        """Close replaced connections with nothing in flight, once their server has spoken on a later one.
-
-        Until then it may hang, and will write to them when it goes on.
-        """
+        """Close replaced connections with nothing in flight."""
         links_in_use = {a.link for a in server.attempts.values() if not a.stands}
         for link in [*server.replaced_links]:
-            if link not in links_in_use and server.has_spoken_since(link):
+            if link not in links_in_use:
                 server.replaced_links.remove(link)
                 link.finish(keep_reading=True)
                 self.linger(server, link)
@@ -190,10 +190,16 @@
     def linger(self, server: Server, link: Link) -> None:
         """Read a connection closed for writing for a while: releases of its calls may be on the way.
 
-        The server sends them there until it notices the end, and only then on another connection.
+        The server sends them there until it notices the end, and only then on another connection. Before it
+        has spoken on a later one it may hang, and will write there once it goes on.
         """
         server.lingering_links.append(link)
-        self.shared.schedule(self.shared.now + LINGER_TIME, link.close)
+        self._close_if_passed(server, link)
+
+    def _close_if_passed(self, server: Server, link: Link) -> None:
+        """Close a lingering connection after a while if its server has accepted a later one."""
+        if server.has_spoken_since(link):
+            self.shared.schedule(self.shared.now + LINGER_TIME, link.close)
 
     def on_dial_failed(self, failure: DialFailed) -> None:
         server: Server = failure.owner
