Let a delayed link of the rehearsals deliver what is on its way before its end

Cause: the stand-in's link closed at once when the softswitch ended its side, and dropped what was still delayed.

Change: the end of a connection is delayed like data, and what the stand-in had sent arrives before it is closed.

Measured: the test failed before (the end came without the data) and passes.

--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -18,7 +18,9 @@
 from wickstep.__main__ import main
 from wickstep.forms import KdlError
 from wickstep.rehearsal import judge, report, scenario
+from wickstep.rehearsal.loop import Loop
 from wickstep.rehearsal.processes import find_free_ports, own_loopback_host
+from wickstep.rehearsal.relay import LinkCondition, LinkMode, Network, ProxyConnection
 from wickstep.rehearsal.report import Second
 from wickstep.rehearsal.scenario import Fault
 from wickstep.rehearsal.trace import Event, EventKind, Trace
@@ -353,3 +355,24 @@
         (port,) = find_free_ports(1, 1, host)
         with socket.create_server((host, port)), socket.create_server((own_loopback_host(pid + 1), port)):
             pass  # both can listen on the same port
+
+
+def test_a_delayed_link_delivers_what_is_on_its_way_before_its_end() -> None:
+    """Guards against a link of the rehearsals that loses data when one end closes, as no network does."""
+    loop, network, key = Loop(), Network(), (0, "s-0")
+    network.set_condition({key}, LinkCondition(LinkMode.DELAY, 0.01))
+    softswitch, stand_in = socket.socketpair()
+    received: list[bytes] = []
+    ends: list[str] = []
+    connection = ProxyConnection(
+        loop, network, stand_in, key, lambda data, at: received.append(data), lambda: ends.append("end")
+    )
+    connection.send(b"to the softswitch")
+    softswitch.sendall(b"to the stand-in")
+    softswitch.shutdown(socket.SHUT_WR)
+    assert loop.run_until(lambda: bool(ends), 10.0)
+    assert received == [b"to the stand-in"]
+    softswitch.settimeout(10.0)
+    assert softswitch.recv(100) == b"to the softswitch"
+    assert softswitch.recv(100) == b""
+    assert connection.closed
--- a/wickstep/rehearsal/relay.py
+++ b/wickstep/rehearsal/relay.py
@@ -75,7 +75,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.loop, self.network, self.sock, self.key = loop, network, sock, key
         self._on_data, self._on_end = on_data, on_end
-        self._delayed: deque[tuple[float, bool, bytes]] = deque()  # arrival, whether inbound, bytes
+        # Arrival, whether inbound, bytes; none inbound: the softswitch has ended the connection.
+        self._delayed: deque[tuple[float, bool, bytes]] = deque()
+        self._has_ended = False  # the stand-in knows of that end
         self._send_buffer = bytearray()
         self._has_dropped = False  # bytes are missing: the connection is reset once the fault ends
         self.is_silent = False
@@ -114,8 +116,7 @@
             return self.reset()
         if condition.mode is LinkMode.FORWARD:
             while self._delayed and not self.closed:
-                at, inbound, data = self._delayed.popleft()
-                self._deliver(data, inbound, at)
+                self._deliver_next()
 
     def _forward(self, data: bytes, inbound: bool) -> None:
         if self.is_silent:
@@ -134,13 +135,21 @@
         if self._delayed and not self.closed:
             at, inbound, data = self._delayed.popleft()
             self._deliver(data, inbound, at)
+            if self._has_ended and not self._delayed:
+                self.close()
+
+    def _end(self) -> None:
+        """The softswitch has ended the connection; what is on its way to it still arrives."""
+        if not self._delayed:
+            self.close()
+        self._has_ended = True
+        self._on_end()
 
     def _deliver(self, data: bytes, inbound: bool, at: float) -> None:
         if self.closed:
             return
         if inbound:
-            self._on_data(data, at)
-            return
+            return self._on_data(data, at) if data else self._end()
         self._send_buffer += data
         if len(self._send_buffer) > MAX_SEND_BUFFER_BYTES:
             return self.reset()
@@ -157,9 +166,11 @@
             self._forward(data, inbound=True)
         elif self.is_silent:
             self.loop.unregister(self.sock)  # the stand-in is not told, and goes on writing
+        elif self._delayed:
+            self.loop.unregister(self.sock)
+            self._forward(b"", inbound=True)  # the end arrives after what is on its way, and as late
         elif not self.closed:
-            self.close()
-            self._on_end()
+            self._end()
 
     def _on_writable(self) -> None:
         if self.closed:
@@ -171,7 +182,8 @@
         except OSError:
             return  # the next read reports the error
         del self._send_buffer[:sent]
-        self.loop.register(self.sock, self._on_readable, self._on_writable if self._send_buffer else None)
+        if not self._has_ended:
+            self.loop.register(self.sock, self._on_readable, self._on_writable if self._send_buffer else None)
 
 
 class Listener:
