Hear late answers of the bulletin, and wait as long as its own answers take

Cause: each request was given up one second after the time for which it may be held, and its connection closed. No answer that took longer than 2.6 to 3.4 s was read, and each that was given up was asked for again.

Ruled out: doubling the wait with each failure (after a partition the next drain would be heard of too late), and waiting on the first connection alone (a dead one is told from a slow bulletin by asking on another only).

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -38,6 +38,7 @@
     Test,
     TestResult,
     bulletin,
+    bulletin_connection,
     codec,
     links,
     probes,
@@ -1279,8 +1280,8 @@
     client = bulletin.Client(f"127.0.0.1:{old_bulletin.getsockname()[1]}", 3, updates.append)
     real_get = client._get  # of this client alone: those of other tests may still run
 
-    def get(path: str) -> Any:
-        response = real_get(path)
+    def get(path: str, hold_ms: int) -> Any:
+        response = real_get(path, hold_ms)
         client.change_address("127.0.0.1:9")  # as a reload does during the request
         return response
 
@@ -1293,7 +1294,7 @@
         sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
     threading.Thread(target=answer, daemon=True).start()
-    with pytest.raises(bulletin.BadResponse):
+    with pytest.raises(bulletin_connection.BadResponse):
         client.poll_once()
     assert updates == []
     assert client._after == 3  # the event is requested again at the new address
@@ -1322,8 +1323,8 @@
     client = bulletin.Client("", 3, updates.append)
     for last_number, event_numbers in responses:
         response = {"no": last_number, "items": [make_list_event(number, "s-1") for number in event_numbers]}
-        monkeypatch.setattr(client, "_get", lambda path, response=response: response)
-        with contextlib.suppress(bulletin.BadResponse):
+        monkeypatch.setattr(client, "_get", lambda path, hold_ms, response=response: response)
+        with contextlib.suppress(bulletin_connection.BadResponse):
             client.poll_once()
     assert ([event.number for event in updates], client._after) == (applied, after)
 
--- a/wickstep/net/bulletin.py
+++ b/wickstep/net/bulletin.py
@@ -1,40 +1,32 @@
 """The bulletin's client: a thread that follows the numbered changes of the pool list of setup servers.
 
-This file owns the HTTP/1.1 long polling of the bulletin and the parsing of its events. It must never judge a
-server or skip an event that can be parsed: events go to the loop in order. A bulletin that is silent, slow or
-sends invalid data affects this thread only, and must never end it.
+This file owns the long polling of the bulletin and the parsing of its events. It must never judge a server or
+skip an event that can be parsed: events go to the loop in order. A bulletin that is silent, slow or sends
+invalid data affects this thread only, and must never end it.
 """
 
 from __future__ import annotations
 
 import contextlib
 import logging
-import socket
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
-import ujson
-
 from wickstep.interface import ServerState
 from wickstep.net import links
+from wickstep.net.bulletin_connection import AnswerTimes, AnswerWait, BadResponse, BulletinConnection
 from wickstep.recovery import jitter
 
 log = logging.getLogger(__name__)
 
-ANSWER_GRACE_S = 1.0  # what an answer may take beyond the time that the bulletin may hold the request
 RETRY_DELAY_S = 0.1  # after a failed request
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 STATES = {"Ready": ServerState.ACTIVE, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 
 
-class BadResponse(ValueError):
-    """The bulletin's answer is not valid, or is not to be used."""
-
-
 @dataclass(slots=True, frozen=True)
 class ListedServer:
     """One line of the pool list."""
@@ -114,7 +106,11 @@
 
 
 class Client:
-    """Polls the bulletin and hands each event to `on_update`."""
+    """Polls the bulletin and hands each event to `on_update`.
+
+    One thread follows the bulletin. Where an answer is overdue it may come late, and is news all the same, or
+    never: that thread goes on waiting for it, and another one follows the bulletin on a new connection.
+    """
 
     def __init__(
         self,
@@ -127,153 +123,123 @@
         """Follow `address` from event number `after`; a draining server may be sent to for `grace_s`."""
         self._address, self._after, self._on_update = address, after, on_update
         self._random, self._grace_s = random or Random(), grace_s
-        self._hold_ms = 0  # how long the bulletin may hold the current request
         self._last_gap = (0, 0, 0)  # last answer with missing events: after which number, to which, how many
-        self._sock: socket.socket | None = None
-        self._connected_to = ""  # the address of that socket
-        self._buffer = b""
-        # Guards the address and the socket, which `change_address` uses from the loop's thread.
-        self._lock = threading.Lock()
+        self.answer_times = AnswerTimes()
+        self._connection: BulletinConnection | None = None  # of the thread that follows the bulletin
+        self._late_connection: BulletinConnection | None = None  # of one that waits for an overdue answer
+        self._follower: threading.Thread | None = None
+        # Guards all of the above, which the loop's thread uses too.
+        self._lock = threading.RLock()
         self._address_changed = threading.Event()
 
     def start(self) -> None:
-        links.start_thread(self._follow)
+        links.start_thread(self._start_following)
 
     def change_address(self, address: str) -> None:
         """Follow the bulletin at another address, from the event number that was reached; never blocks.
 
-        The thread may wait for an answer that will never come: it is woken, since events at the new address
-        are expected to take effect soon after the change.
+        The threads may wait for an answer that will never come: they are woken, since events at the new
+        address are expected to take effect soon after the change.
         """
         with self._lock:
-            self._address, sock = address, self._sock
+            self._address = address
             self._address_changed.set()
-            if sock is not None:
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RDWR)
+            for connection in (self._connection, self._late_connection):
+                if connection is not None:
+                    connection.shut_down()
 
-    def _follow(self) -> None:
+    def _start_following(self) -> None:
         # Softswitches that start together must not poll together, neither now nor from then on.
         self._address_changed.wait(jitter.draw_list_delay_s(self._random, self._after > 0, self._grace_s))
-        while True:
+        self._follow()
+
+    def _follow(self) -> None:
+        """Poll until another thread follows the bulletin."""
+        self._follower = threading.current_thread()
+        while self._follower is threading.current_thread():
             try:
                 self.poll_once()
             except Exception as exc:  # if this thread ended, no drain would be noticed any more
                 log.warning("polling the bulletin failed: %r", exc)
-                self._disconnect()
-                self._address_changed.wait(RETRY_DELAY_S)  # a new address is polled at once
-                self._address_changed.clear()
+                if self._follower is threading.current_thread():
+                    self._address_changed.wait(RETRY_DELAY_S)  # a new address is polled at once
+                    self._address_changed.clear()
 
     def poll_once(self) -> None:
         """One request; its events go to `on_update`, which must not block."""
-        self._hold_ms = jitter.draw_list_hold_ms(self._random)
-        answer = self._get(f"/bulletins?after={self._after}&patience={self._hold_ms}")
+        hold_ms, after, address = jitter.draw_list_hold_ms(self._random), self._after, self._address
+        answer = self._get(f"/bulletins?after={after}&patience={hold_ms}", hold_ms)
+        self._apply(answer, after, address)
+
+    def _get(self, path: str, hold_ms: int) -> Any:
+        """The answer to a request that may be held for so long."""
+        connection = self._connect()
+        try:
+            wait = AnswerWait(
+                hold_ms / 1000, self.answer_times, partial(self._leave_to_another_thread, connection)
+            )
+            return connection.get(path, wait)
+        except Exception:
+            connection.close()
+            raise
+        finally:
+            self._forget_unused(connection)
+
+    def _apply(self, answer: Any, after: int, address: str) -> None:
+        """Hand on the events of an answer from that address, which was asked with that event number."""
         last, events = read_events(answer)
-        gap = (self._after, last, count_missing(answer, self._after))
-        if gap[2] and gap != self._last_gap:
-            # Requested again, since a drain may be among them. Events missing twice are not available.
-            self._last_gap = gap
-            raise BadResponse(f"answer of the bulletin lacks {gap[2]} events after number {self._after}")
+        gap = (after, last, count_missing(answer, after))
         with self._lock:  # against `change_address`, after which no answer of the old address counts
-            if self._connected_to != self._address:
+            if address != self._address:
                 raise BadResponse("answer from an old address: the bulletin's address was changed meanwhile")
+            if gap[2] and gap != self._last_gap:
+                # Requested again, since a drain may be among them. Events missing twice are not available.
+                self._last_gap = gap
+                raise BadResponse(f"answer of the bulletin lacks {gap[2]} events after number {after}")
             for event in sorted(events, key=lambda event: event.number):
                 if event.number > self._after:
                     self._on_update(event)
                     self._after = event.number
             self._after = max(self._after, last)
 
-    def _disconnect(self) -> None:
-        with self._lock:
-            sock, self._sock, self._buffer = self._sock, None, b""
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.close()
-
-    def _connect(self) -> socket.socket:
+    def _connect(self) -> BulletinConnection:
         """The connection to the bulletin's current address."""
         address = self._address
-        if self._sock is not None and self._connected_to == address:
-            return self._sock
-        self._disconnect()
-        sock = socket.create_connection(links.parse_address(address), timeout=ANSWER_GRACE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._lock:
-            self._sock, self._connected_to = sock, address
+            if self._connection is not None and self._connection.address == address:
+                return self._connection
+        connection = BulletinConnection(address)
+        with self._lock:
             if address != self._address:
+                connection.close()
                 raise BadResponse("bulletin's address was changed while connecting to the old one")
-        return sock
-
-    def _get(self, path: str) -> Any:
-        sock = self._connect()
-        # One deadline for the whole answer: a bulletin that sends single bytes must not block us for ever.
-        deadline = time.monotonic() + self._hold_ms / 1000 + ANSWER_GRACE_S
-        request = f"GET {path} HTTP/1.1\r\nHost: {self._connected_to}\r\nAccept: application/json\r\n\r\n"
-        sock.sendall(request.encode())
-        head = self._read_until(b"\r\n\r\n", deadline).decode("latin-1").split("\r\n")
-        status = head[0].split(" ", 2)
-        if len(status) < 2 or not status[0].startswith("HTTP/1.") or status[1] != "200":
-            raise BadResponse(f"expected HTTP/1 and status 200 from the bulletin, got {head[0]!r}")
-        fields = {
-            name.strip().lower(): value.strip()
-            for name, _, value in (line.partition(":") for line in head[1:] if line)
-        }
-        if "chunked" in fields.get("transfer-encoding", "").lower():
-            body = self._read_chunks(deadline)
-        else:
-            body = self._read_exactly(self._parse_size(fields.get("content-length", ""), 10), deadline)
-        if fields.get("connection", "").lower() == "close" or status[0] == "HTTP/1.0":
-            self._disconnect()
-        try:
-            return ujson.loads(body)
-        except ValueError as exc:
-            raise BadResponse("expected JSON in the body of the bulletin's answer") from exc
+            if self._connection is not None:
+                self._connection.close()
+            self._connection = connection
+        return connection
 
-    def _parse_size(self, text: str, base: int) -> int:
-        try:
-            size = int(text, base)
-        except ValueError as exc:
-            raise BadResponse(f"expected a body or chunk length from the bulletin, got {text!r}") from exc
-        if not 0 <= size <= MAX_ANSWER_BYTES:
-            raise BadResponse(f"expected a length of at most 4 MiB from the bulletin, got {size}")
-        return size
-
-    def _read_chunks(self, deadline: float) -> bytes:
-        body = b""
-        while True:
-            size = self._parse_size(
-                self._read_until(b"\r\n", deadline).decode("latin-1").split(";")[0].strip(), 16
-            )
-            if size == 0:
-                while self._read_until(b"\r\n", deadline):
-                    pass  # trailers
-                return body
-            body += self._read_exactly(size, deadline)
-            if self._read_exactly(2, deadline) != b"\r\n" or len(body) > MAX_ANSWER_BYTES:
-                raise BadResponse("chunk of the bulletin lacks its line end, or the chunks exceed 4 MiB")
-
-    def _read_until(self, delimiter: bytes, deadline: float) -> bytes:
-        while delimiter not in self._buffer:
-            if len(self._buffer) > links.READ_SIZE:
-                raise BadResponse("no end of a head or line within 16 KiB of the bulletin's answer")
-            self._receive(deadline)
-        found, _, self._buffer = self._buffer.partition(delimiter)
-        return found
-
-    def _read_exactly(self, size: int, deadline: float) -> bytes:
-        while len(self._buffer) < size:
-            self._receive(deadline)
-        found, self._buffer = self._buffer[:size], self._buffer[size:]
-        return found
-
-    def _receive(self, deadline: float) -> None:
-        if self._sock is None:
-            raise BadResponse("not connected to the bulletin")
-        timeout_s = deadline - time.monotonic()
-        if timeout_s <= 0:
-            raise BadResponse("answer of the bulletin not complete in time")
-        self._sock.settimeout(timeout_s)
-        data = self._sock.recv(links.READ_SIZE)
-        if not data:
-            raise BadResponse("connection to the bulletin ended before its answer was complete")
-        self._buffer += data
+    def _leave_to_another_thread(self, connection: BulletinConnection) -> bool:
+        """An answer is overdue: go on waiting for it, unless one is waited for already or no thread is free.
+
+        A slow bulletin answers late, and what it tells is news. On a dead connection nothing comes any more.
+        """
+        with self._lock:
+            if self._late_connection is not None or connection.address != self._address:
+                return False
+            thread = threading.Thread(target=self._follow, daemon=True)
+            try:
+                thread.start()
+            except RuntimeError:
+                return False
+            log.warning("answer of the bulletin is overdue: asking on another connection, waiting for it too")
+            self._connection, self._late_connection, self._follower = None, connection, thread
+            return True
+
+    def _forget_unused(self, connection: BulletinConnection) -> None:
+        """Close a connection whose late answer has come, and forget those that are closed."""
+        with self._lock:
+            if connection is self._late_connection:
+                connection.close()
+                self._late_connection = None
+            if connection is self._connection and not connection.is_open:
+                self._connection = None
--- a/wickstep/recovery/jitter.py
+++ b/wickstep/recovery/jitter.py
@@ -15,7 +15,7 @@
 from random import Random
 
 LIST_JITTER_S = 0.7  # longest delay of the first poll, which is delayed only if a list is already known
-# How long a poll may be held. An answer may take one second more, after which the connection counts as dead.
+# How long a poll may be held; `bulletin_connection` adds to it what an answer may take.
 LIST_HOLD_MS = (1600, 2400)
 DIAL_JITTER_US = 500_000  # longest delay of a connection that no set-up waits for
 
