Read a message's parameters once, and bound their number

Cause: each empty parameter costs as much as a full one, and at each piece of a message all parameters before it were checked again (codec._check_begin). The search for a message's head in an answer's description looked at each possible place in Python.

Change: a message has at most 64 parameters, several times as many as there are codes, and is malformed from the 65th on, on connections from callers and from servers. The check of its begin goes on where it stopped (BeginCheck). The heads in a description are looked up all at once, with the same result.

Ruled out: a shorter limit on time or bytes, since callers may take 2 s and 16 KiB for a sound message.

--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -37,6 +37,9 @@
 MAX_TENANT_BYTES = 255  # a tenant's name is kept as long as its call
 ADVISED_SERVER_LIMIT = 2**31  # a centre may advise servers of numbers below this
 MAX_ADVICE_CHARACTERS = 16  # of such a number: float() would accept thousands of digits
+MAX_PARAMETERS = (
+    64  # in one message, several times as many as there are codes: empty ones cost most for a byte
+)
 MAX_FIGURES = 64  # in one parameter: a message full of them would take 25 times its size in memory
 
 
@@ -80,12 +83,17 @@
     MessageType.GROUP_STATE,
     MessageType.TEST_RESULT,
 )
-# In a description: length (up to 16 KiB), type and call of a message, and the code of its first parameter.
-# At the end of the description half of the call's id is enough: random bytes do not match it.
-HEAD_IN_DESCRIPTION = re.compile(
-    rb"(?=[\x00-\x3f].([%s])(.{8}|.{4,7}\Z)(.?))" % re.escape(bytes(SERVER_MESSAGE_TYPES)), re.DOTALL
+# In a description: length (up to 16 KiB), type and call of a message. At the end of the description half of
+# the call's id is enough: random bytes do not match it.
+_SERVER_HEAD = rb"(?=[\x00-\x3f].[%s]" % re.escape(bytes(SERVER_MESSAGE_TYPES))
+WHOLE_HEAD = re.compile(_SERVER_HEAD + rb"(.{8}))", re.DOTALL)
+CUT_HEAD = re.compile(_SERVER_HEAD + rb"(.{4,7})\Z)", re.DOTALL)
+MAX_CUT_HEAD_BYTES = HEAD.size - 1
+# The head of a state report that nobody asked for, and the code of its parameter, as far as they are there.
+REPORT_HEAD = re.compile(
+    rb"[\x00-\x3f].%s(\x00{8}(%c|\Z)|\x00{4,7}\Z)" % (re.escape(bytes([MessageType.GROUP_STATE])), P_REPORT),
+    re.DOTALL,
 )
-REPORT_BEGINS = (b"", bytes([P_REPORT]))  # what follows the head of a state report, as far as it is there
 NOTE_BY_NAME = {"no_circuit": Note.NO_CIRCUIT, "overload": Note.OVERLOAD, "lines_busy": Note.LINES_BUSY}
 
 
@@ -112,6 +120,7 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._check = BeginCheck()  # of the message that begins the buffer
         self.size = 0  # bytes of the message that feed() yielded last
 
     def has_partial_message(self) -> bool:
@@ -125,42 +134,58 @@
         it holds the begin of that one: what follows it is no message then, and neither is it.
         """
         self._buffer += data
-        _check_begin(self._buffer, 0)
+        self._check.advance(self._buffer, 0)
         while len(self._buffer) >= LENGTH_FIELD_BYTES:
             end = LENGTH_FIELD_BYTES + int.from_bytes(self._buffer[:LENGTH_FIELD_BYTES], "big")
             if len(self._buffer) < end:
                 return
             message = decode(bytes(self._buffer[:end]))
+            self._check = BeginCheck()
             has_description = isinstance(message, SetUp | Answer)
             if has_description:
-                _check_begin(self._buffer, end)
+                self._check.advance(self._buffer, end)
             del self._buffer[:end]
             self.size = end
             yield message  # removed from the buffer before: a slow consumer must not keep a second copy here
             if not has_description:
-                _check_begin(self._buffer, 0)
+                self._check.advance(self._buffer, 0)
 
 
-def _check_begin(buffer: bytearray, start: int) -> None:
-    """Raise MalformedMessage unless a message may begin there, as far as it has arrived.
+class BeginCheck:
+    """Checks whether a message may begin somewhere, as far as it has arrived, and each of its bytes once.
 
-    Checked before the rest has arrived: a wrong length must not make us buffer 64 KiB.
+    A message may come in thousands of pieces: checked from its begin at each, its cost would grow with the
+    square of their number.
     """
-    if len(buffer) < start + LENGTH_FIELD_BYTES:
-        return
-    length = int.from_bytes(buffer[start : start + LENGTH_FIELD_BYTES], "big")
-    if not MIN_LENGTH <= length <= MAX_MESSAGE - LENGTH_FIELD_BYTES:
-        raise MalformedMessage(
-            f"length field out of range: expected a message head to 16 KiB in all, got {length}"
-        )
-    if len(buffer) > start + LENGTH_FIELD_BYTES and buffer[start + LENGTH_FIELD_BYTES] not in MESSAGE_TYPES:
-        raise MalformedMessage(f"unknown message type {buffer[start + LENGTH_FIELD_BYTES]}")
-    position, end = start + HEAD.size, start + LENGTH_FIELD_BYTES + length
-    while position < end and position + PARAMETER.size <= len(buffer):
-        _, value_length = PARAMETER.unpack_from(buffer, position)
-        position += PARAMETER.size + value_length
-    if position > end:
-        raise MalformedMessage("a parameter is longer than the rest of its message")
+
+    def __init__(self) -> None:
+        self._length = 0  # of the message, without its length field; 0: not known yet
+        self._position = HEAD.size  # of the next parameter, from the begin of the message
+        self._parameters = 0
+
+    def advance(self, buffer: bytearray, start: int) -> None:
+        """Check what has arrived of the message that begins at `start`; MalformedMessage if it is none.
+
+        Checked before the rest has arrived: a wrong length must not make us buffer 64 KiB.
+        """
+        arrived = len(buffer) - start
+        if not self._length and arrived >= LENGTH_FIELD_BYTES:
+            self._length = int.from_bytes(buffer[start : start + LENGTH_FIELD_BYTES], "big")
+            if not MIN_LENGTH <= self._length <= MAX_MESSAGE - LENGTH_FIELD_BYTES:
+                raise MalformedMessage(
+                    f"length field out of range: expected a message head to 16 KiB in all, got {self._length}"
+                )
+        if arrived > LENGTH_FIELD_BYTES and buffer[start + LENGTH_FIELD_BYTES] not in MESSAGE_TYPES:
+            raise MalformedMessage(f"unknown message type {buffer[start + LENGTH_FIELD_BYTES]}")
+        end = LENGTH_FIELD_BYTES + self._length
+        while self._position < end and self._position + PARAMETER.size <= arrived:
+            _, value_length = PARAMETER.unpack_from(buffer, start + self._position)
+            self._position += PARAMETER.size + value_length
+            self._parameters += 1
+            if self._parameters > MAX_PARAMETERS:
+                raise MalformedMessage(f"expected at most {MAX_PARAMETERS} parameters in a message, got more")
+        if self._length and self._position > end:
+            raise MalformedMessage("a parameter is longer than the rest of its message")
 
 
 def holds_message(description: bytes, calls: Collection[int]) -> bool:
@@ -168,17 +193,17 @@
 
     The message of that description was cut short, and its peer went on with the other one.
     """
-    for found in HEAD_IN_DESCRIPTION.finditer(description):
-        kind, call_bytes, next_byte = found[1][0], found[2], found[3]
-        if kind == MessageType.GROUP_STATE and not any(call_bytes) and next_byte in REPORT_BEGINS:
-            return True
-        if len(call_bytes) == CALL_BYTES and int.from_bytes(call_bytes, "big") in calls:
-            return True
-        if len(call_bytes) < CALL_BYTES and any(
-            call.to_bytes(CALL_BYTES, "big").startswith(call_bytes) for call in calls
-        ):
-            return True
-    return False
+    if REPORT_HEAD.search(description):
+        return True
+    # All heads at once: a description may be made of thousands of them.
+    heads = WHOLE_HEAD.findall(description)
+    if any(map(calls.__contains__, struct.unpack(f">{len(heads)}Q", b"".join(heads)))):
+        return True
+    return any(
+        call.to_bytes(CALL_BYTES, "big").startswith(call_bytes)
+        for call_bytes in CUT_HEAD.findall(description[-MAX_CUT_HEAD_BYTES:])
+        for call in calls
+    )
 
 
 def decode(raw: bytes) -> Message:
