Fail a call that may have run if its id comes again and its class forbids that

Cause: that a call may have run is forgotten with the call when its caller leaves; the same id makes a new call.

Evidence: the id's set-up reaches the server a second time in six of six cases forced by order. The wire's second rule forbids it unless every earlier attempt has an outcome that proves it never ran. Ruled out: sends after the close itself.

Change: where an attempt ends, its id is kept in a fixed space if its class forbids a second run and its outcome does not prove that nothing ran. A set-up with such an id is answered as failed, and not refused.

--- a/wickstep/brain.py
+++ b/wickstep/brain.py
@@ -352,8 +352,7 @@
             call.erred_server = server
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             call.blocked_until = self.now + self.settings.release_wait
-        never_ran = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-        call.may_have_run |= event.outcome not in never_ran and call.klass.effect is not api.Effect.SAFE
+        call.may_have_run |= event.outcome not in api.NEVER_RAN and call.klass.effect is not api.Effect.SAFE
         if max(self.now, call.blocked_until) >= call.deadline:
             self._fail(event.call)
         elif call.blocked_until > self.now:
--- a/wickstep/interface.py
+++ b/wickstep/interface.py
@@ -41,6 +41,10 @@
     MOOT = "moot"  # never sent
 
 
+# Outcomes which prove that the set-up was never executed.
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
+
+
 class ListKind(Enum):
     """How a server list relates to the one the controller has."""
 
--- a/wickstep/net/route.py
+++ b/wickstep/net/route.py
@@ -64,6 +64,9 @@
         self, attempt: Attempt, outcome: Outcome, call_over: bool, release: Release | None = None
     ) -> None:
         self.shared.counters[f"attempts_{outcome.value}"] += 1
+        effect = self.shared.config.settings.classes[attempt.call.klass].effect
+        if outcome not in api.NEVER_RAN and effect is not api.Effect.SAFE:
+            self.shared.unrepeatable_ids.add(attempt.call.call_id)
         delay = self.shared.now - attempt.sent_at
         log.info("%016x #%d %s at %s after %d us, %s", attempt.call.call_id, attempt.index, outcome.value,
                  attempt.server.host, delay, release and (release.note, release.report))  # fmt: skip
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -16,6 +16,7 @@
 
 from wickstep.interface import ServerState
 from wickstep.net import Release, SetUp, links
+from wickstep.net.call_ids import CallIdCache
 from wickstep.net.config import Config
 from wickstep.net.links import Link
 from wickstep.net.server_releases import ServerReleases
@@ -27,6 +28,7 @@
 
 log = logging.getLogger("wickstep.net.softswitch")  # of all stages: `wickstep spread` reads its lines
 
+UNREPEATABLE_DIVISOR = 4  # of the ids of ended calls that are remembered, for those that may not run again
 MIN_REDIAL_DELAY = 250 * MS  # between two connects to one server; doubled by each that fails
 
 
@@ -146,6 +148,8 @@
         self.inherited_calls = InheritedCalls()
         # Servers that may take a connection for open which has ended here, by host.
         self.hosts_with_lost_links: set[str] = set()
+        # Ids of calls that may have run at a server and whose class forbids a second run.
+        self.unrepeatable_ids = CallIdCache(config.max_past_ids // UNREPEATABLE_DIVISOR)
         self.recorder = CallRecorder()  # records each call in the journal, if one is kept
 
     def born_ms(self, server: Server) -> int:
--- a/wickstep/net/take_in.py
+++ b/wickstep/net/take_in.py
@@ -72,6 +72,8 @@
         error = self.find_error(message, klass)
         if error or klass is None:
             return self.reject_set_up(link, message, error)
+        if message.call in shared.unrepeatable_ids:
+            return self.fail_repeated_set_up(link, message, klass)
         deadline = max(received_at + message.wait_ms * MS - ANSWER_MARGIN, shared.now + MS)
         tenant = shared.config.tenants.get(message.tenant, -1)
         if ignored := message.ignored_fields + (tenant < 0 and message.tenant != ""):
@@ -118,6 +120,18 @@
             return "width out of range"
         return ""
 
+    def fail_repeated_set_up(self, link: Link, message: SetUp, klass: int) -> None:
+        """Fail a set-up whose call may have run before, before its caller left, and must not run again.
+
+        It is not refused: that would tell the caller that nothing has run.
+        """
+        self.shared.counters["answered_failed"] += 1
+        self.shared.counters["set_ups_not_run_again"] += 1
+        self.shared.result_counts.count_result(klass, "failed")
+        log.info("%016x failed: it may have run before, and its class forbids a second run", message.call)
+        self.book.record_ended_call(message.call)
+        link.send(Release(message.call, Reason.FAILED))
+
     def reject_set_up(self, link: Link, message: SetUp, error: str) -> None:
         """Answer a malformed set-up, and close its connection unless other calls wait on it.
 
