Pass calls of a new server at an old address to its name when the list tells

Cause: until the list tells, what is sent to the address is kept under the old server's name, and its end ended all of it.

Evidence: forced by order, a call that stands at the new process was interrupted. Ruled out: cutting by the time of the set-up alone, which keeps calls in a table of a server that is gone.

Change: when a server is gone and the list has one at its address that started later, the present connection passes to that one, if it was opened after its start, with the attempts and calls on it; the controller knows them by the name under which they were sent. Without such an entry what stands on that connection is released on it before it is closed.

--- a/wickstep/net/relay.py
+++ b/wickstep/net/relay.py
@@ -58,7 +58,7 @@
         log.info("%016x #%d stands at %s after %d us", call.call_id, attempt.index, server.host, delay)
         server.smoothed_delay += (delay - server.smoothed_delay) // 8
         self.route.handle_event(
-            api.CallStands(call.controller_id, attempt.index, server.host, delay * NS_PER_US)
+            api.CallStands(call.controller_id, attempt.index, attempt.sent_to, delay * NS_PER_US)
         )
 
     def relay_release(self, server: Server, link: Link, message: Release) -> None:
--- a/wickstep/net/route.py
+++ b/wickstep/net/route.py
@@ -74,7 +74,7 @@
             api.AttemptEnded(
                 call=attempt.call.controller_id,
                 attempt=attempt.index,
-                server=attempt.server.host,
+                server=attempt.sent_to,
                 outcome=outcome,
                 delay=delay * NS_PER_US,
                 call_over=call_over,
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -50,6 +50,7 @@
             else expires_at,
         )
         call.attempt_count += 1
+        attempt.sent_to = action.server
         if (
             server is None
             or call.attempt is not None
@@ -244,6 +245,15 @@
                 call.may_stand_until = self.shared.now + self.shared.min_aim // 2
             self.route.report_end(attempt, outcome, call_over=call.call_id not in self.shared.open_calls)
 
+    def release_standing_calls(self, server: Server) -> None:
+        """Release what stands on the present connection, before it is closed since its server is gone.
+
+        If it is open at the other end, another process may have the address that the list does not tell yet.
+        """
+        for attempt in server.attempts.values():
+            if attempt.stands and attempt.link is not None and attempt.link is server.link:
+                attempt.link.send(Release(attempt.call.call_id, Reason.CLEARED))
+
     def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None:
         """End the calls and attempts of a server process that served until `cutoff` and is gone.
 
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -48,6 +48,7 @@
     def end_attempts_on(
         self, link: Link, server: Server, outcome: Outcome, may_stand: bool, is_reachable: bool
     ) -> None: ...
+    def release_standing_calls(self, server: Server) -> None: ...
     def cut_calls(self, server: Server, cutoff: int, cause: str, process_ended: bool) -> None: ...
 
 
@@ -358,6 +359,8 @@
     def drop_process(self, server: Server, cutoff: int, cause: str) -> None:
         """End the connections and calls of a server process that served until `cutoff` and is gone."""
         server.releases.clear()
+        if server.state is ServerState.GONE:
+            self.attempts.release_standing_calls(server)
         for link in self._links_before(server, cutoff):
             link.process_ended = True
         self._drop_links(server, cutoff)
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -37,6 +37,7 @@
     bulletin,
     links,
 )
+from wickstep.net.address_successor import find_successor, pass_on
 from wickstep.net.admit import AdmitStage
 from wickstep.net.book import BookStage
 from wickstep.net.bulletin import ListUpdate
@@ -378,6 +379,9 @@
         for server, cutoff in ended_processes:
             if server.state is ServerState.GONE:
                 del shared.servers[server.host]
+                successor = find_successor(server, shared.servers.values())
+                if successor is not None:
+                    pass_on(server, successor)
             cause = "gone" if server.state is ServerState.GONE else "restarted"
             self.connections.drop_process(server, cutoff, cause)
         for server in shared.servers.values():
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -96,6 +96,7 @@
     timeout_at: int  # earlier end, where the server owes a message sooner
     link: Link | None = None  # None while it waits for a connection, or for the release of an earlier attempt
     stands: bool = False
+    sent_to: str = ""  # the server's name when it was sent, by which the controller knows it
     awaits: Server | None = None  # the server that has yet to receive the release of an earlier attempt
 
 
