Move the listening socket for callers to a file of its own

Change: net/listener.py owns the listening socket and those limits; number analysis has the size of its reads itself. No change of behaviour.

--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -41,6 +41,7 @@
     bulletin_connection,
     codec,
     links,
+    listener,
     probes,
     server_connections,
     state,
@@ -636,9 +637,9 @@
 ) -> None:
     rig, _, server_peer, caller = connected
     set_up_call(rig, server_peer, caller)  # a caller that has sent a message may be silent
-    monkeypatch.setattr(links, "FIRST_BYTE_TIMEOUT_MS", 50)
-    monkeypatch.setattr(links, "MESSAGE_TIMEOUT_MS", 50)
-    monkeypatch.setattr(links, "FIRST_MESSAGE_TIMEOUT_MS", 100)
+    monkeypatch.setattr(listener, "FIRST_BYTE_TIMEOUT_MS", 50)
+    monkeypatch.setattr(listener, "MESSAGE_TIMEOUT_MS", 50)
+    monkeypatch.setattr(listener, "FIRST_MESSAGE_TIMEOUT_MS", 100)
     bad_caller = rig.caller()
     bad_caller.sock.sendall(sent_bytes)
     assert bad_caller.wait_closed()
--- a/wickstep/net/links.py
+++ b/wickstep/net/links.py
@@ -1,4 +1,4 @@
-"""Connections and their threads: a reader per caller's connection, one for all servers, one that accepts.
+"""Connections and their threads: a reader per caller's connection, and one for all servers.
 
 This file owns the sockets. Readers parse messages and put them into the loop's inbox; connects run in
 threads of their own. What the loop sends is written at once as far as the socket takes it; where a peer does
@@ -32,19 +32,11 @@
 THREAD_STACK = 128 * 1024  # bytes; small, since hundreds of connections have one or two threads each
 THREAD_START_TIMEOUT_S = 5.0  # a machine at its limit on threads may have one free soon
 MAX_OUTBOX_BYTES = 256 * 1024  # a server that leaves so much unread is not reading
-MAX_CALLER_OUTBOX_BYTES = 64 * 1024  # less for a caller: hundreds of outboxes must fit in memory
 SEND_BUFFER_BYTES = 16 * 1024
 MAX_SHARES_AHEAD = 8  # one connection's limit on messages that wait for the loop, in shares of SHARE_BYTES
 SHARE_BYTES = codec.MAX_MESSAGE // MAX_SHARES_AHEAD  # so eight small messages may wait, or one of 16 KiB
 READ_SIZE = 16 * 1024  # bytes of one receive
-CALLER_READ_SIZE = 4 * 1024  # less for a caller: hundreds may hold a full read while their readers wait
-LISTEN_BACKLOG = 256
 RESET_ERRORS = (errno.ECONNRESET, errno.EPIPE)  # the peer knows of the end; after a time-out it may not
-BIND_TIMEOUT_S = 3.0  # how long an address that is still in use is tried again
-FIRST_BYTE_TIMEOUT_MS = 2000  # for a caller's first byte after the connect: hundreds never send any
-MESSAGE_TIMEOUT_MS = 2200  # for a caller's message from its first byte to its last: some callers take 2 s
-FIRST_MESSAGE_TIMEOUT_MS = 2700  # from the connect to the end of the first message, whenever it began
-ACCEPT_POLL_MS = 20  # poll of an inherited listening socket: its thread sees a close within this time
 READER_POLL_MS = 50  # poll of the common reader: it sees a new connection within this time
 # For a server's message from first byte to last: after one that was cut short, the bytes of the next message
 # would be taken for its rest.
@@ -74,23 +66,6 @@
             time.sleep(0.05)
 
 
-def bind_socket(address: str) -> socket.socket:
-    """A socket bound to that address; OSError if the address is still in use after `BIND_TIMEOUT_S`."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # After a kill and a quick restart the previous process's socket may exist for a moment longer.
-    deadline = time.monotonic() + BIND_TIMEOUT_S
-    while True:
-        try:
-            sock.bind(parse_address(address))
-            return sock
-        except OSError as exc:
-            if exc.errno != errno.EADDRINUSE or time.monotonic() > deadline:
-                sock.close()
-                raise
-            time.sleep(0.02)
-
-
 # Events that the threads put into the loop's inbox.
 
 
@@ -483,97 +458,6 @@
             self.on_freed()
 
 
-class Listener:
-    """Accepts callers' connections on one address while `capacity` has a permit; others wait.
-
-    Several listeners may share that semaphore.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        inbox: Inbox,
-        capacity: threading.Semaphore,
-        make_codec: Callable[[], WireCodec] = codec.BinaryCodec,
-        inherited_fd: int | None = None,
-    ) -> None:
-        self._inbox, self._capacity, self._make_codec = inbox, capacity, make_codec
-        self._is_inherited = inherited_fd is not None
-        self._closed = False
-        if inherited_fd is None:
-            self._sock = bind_socket(address)
-        else:
-            # Other processes accept on this socket too, before and after this one: a connection that poll()
-            # has reported may be gone, and a blocking accept() would then wait for the next one.
-            self._sock = socket.socket(fileno=inherited_fd)
-            self._sock.setblocking(False)
-        self._sock.listen(LISTEN_BACKLOG)
-
-    @property
-    def address(self) -> tuple[str, int]:
-        name: tuple[str, int] = self._sock.getsockname()
-        return name
-
-    def start(self) -> None:
-        start_thread(self._run)
-
-    def close(self) -> None:
-        """Accept nothing more: at once, or within `ACCEPT_POLL_MS` if the socket is inherited."""
-        self._closed = True
-        if not self._is_inherited:
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
-            self._sock.close()
-
-    def _accept_next(self) -> socket.socket | None:
-        """A new connection; None once closed, if the socket is inherited: other processes accept the rest."""
-        if self._is_inherited:
-            poll = select.poll()
-            poll.register(self._sock, select.POLLIN)
-            while not self._closed:
-                if poll.poll(ACCEPT_POLL_MS) and not self._closed:
-                    with contextlib.suppress(BlockingIOError):
-                        return self._sock.accept()[0]
-            self._sock.close()
-            return None
-        return self._sock.accept()[0]
-
-    def _run(self) -> None:
-        while True:
-            self._capacity.acquire()
-            try:
-                sock = self._accept_next()
-            except OSError as exc:
-                self._capacity.release()
-                if self._closed:
-                    return
-                # Out of descriptors, or aborted by the peer: neither may end this thread.
-                log.warning("cannot accept a caller's connection, trying again: %s", exc)
-                time.sleep(0.02)
-                continue
-            if sock is None:
-                return
-            sock.setblocking(True)
-            try:
-                link = Link(sock, self._inbox, None, self._make_codec())
-            except OSError:
-                sock.close()  # the peer has closed already
-                self._capacity.release()
-                continue
-            link.on_freed = self._capacity.release
-            link.message_timeout_ms, link.first_byte_timeout_ms = MESSAGE_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS
-            link.first_message_deadline_ms = time.monotonic_ns() // 1_000_000 + FIRST_MESSAGE_TIMEOUT_MS
-            link.max_outbox_bytes, link.read_size = MAX_CALLER_OUTBOX_BYTES, CALLER_READ_SIZE
-            self._inbox.put(Opened(link))
-            try:
-                link.start(timeout_s=1.0)  # waits for a thread: the caller's set-up would be lost otherwise
-            except RuntimeError as exc:
-                log.warning("cannot start a reader thread, closing a caller's connection: %s", exc)
-                sock.close()
-                self._capacity.release()
-                self._inbox.put(Closed(link))
-
-
 class Reader:
     """The common reader: one thread that reads all connections to servers.
 
--- a/wickstep/net/softswitch.py
+++ b/wickstep/net/softswitch.py
@@ -35,7 +35,7 @@
     Test,
     TestResult,
     bulletin,
-    links,
+    listener,
 )
 from wickstep.net.address_successor import find_successor, pass_on
 from wickstep.net.admit import AdmitStage
@@ -133,7 +133,7 @@
             api.FollowList: lambda action: None,  # the bulletin client follows the list anyhow
         }
         self.caller_slots = threading.Semaphore(shared.caller_limit + SPARE_CALLER_LINKS)
-        self.listener = links.Listener(
+        self.listener = listener.Listener(
             config.listen, shared.inbox, self.caller_slots, inherited_fd=config.inherited_fd
         )
         self.bulletin: bulletin.Client | None = None
--- a/wickstep/numbering/enum_dns.py
+++ b/wickstep/numbering/enum_dns.py
@@ -38,6 +38,7 @@
 LENGTH_PREFIX = struct.Struct(">H")
 CONNECT_TIMEOUT_S = 0.5
 SEND_TIMEOUT_S = 0.2
+READ_SIZE = 4 * 1024  # bytes of one receive
 ENUM_SERVICE = "e2u+pstn:tel"  # RFC 4769; service fields are not case-sensitive
 WHOLE_NUMBER_PATTERNS = ("^.*$", "^(.*)$")
 TEL_URI = re.compile(r"tel:\+?([0-9a-fA-F.\-()]+)((?:;[^;]*)*)", re.IGNORECASE)
@@ -227,7 +228,7 @@
     def _read(self, sock: socket.socket) -> None:
         data = b""
         try:
-            while chunk := sock.recv(links.CALLER_READ_SIZE):
+            while chunk := sock.recv(READ_SIZE):
                 data += chunk
                 while len(data) >= LENGTH_PREFIX.size:
                     (size,) = LENGTH_PREFIX.unpack_from(data)
--- a/wickstep/operation/operator_server.py
+++ b/wickstep/operation/operator_server.py
@@ -13,7 +13,7 @@
 import time
 from dataclasses import dataclass, field
 
-from wickstep.net import links
+from wickstep.net import links, listener
 from wickstep.operation import commands
 
 log = logging.getLogger(__name__)
@@ -42,7 +42,7 @@
 
     def __init__(self, address: str, handlers: commands.CommandHandlers) -> None:
         self._handlers = handlers
-        self._sock = links.bind_socket(address)
+        self._sock = listener.bind_socket(address)
         self._sock.listen(BACKLOG)
         self._sock.setblocking(False)
         self._connections: dict[int, OperatorConnection] = {}  # by descriptor, oldest first
