--- a/wickstep/net/book.py
+++ b/wickstep/net/book.py
@@ -13,7 +13,7 @@
 from wickstep.net import Answer, Release
 from wickstep.net.call_ids import CallIdCache
 from wickstep.net.links import Link
-from wickstep.net.state import Call, SharedState, log
+from wickstep.net.state import PAST_IDS_DIVISOR, Call, SharedState, log
 from wickstep.net.units import SECOND
 
 # The id of an ended call is kept for this long, to tell a repeated message from one about an unknown call.
@@ -30,7 +30,7 @@
         self.ended_calls: OrderedDict[int, tuple[int, bool]] = OrderedDict()
         self.past_ids = CallIdCache(shared.config.max_past_ids)  # of calls taken in or released here
         # Of calls with an attempt that ended without its server's word: some stand there, and end later.
-        self.abandoned_ids = CallIdCache(shared.config.max_past_ids // 4)
+        self.abandoned_ids = CallIdCache(shared.config.max_past_ids // PAST_IDS_DIVISOR)
         # Called when a call is no longer open.
         self.on_call_closed: Callable[[int], None] = lambda controller_id: None
         # Releases for which no connection was open, each with the peer id of its caller.
@@ -41,8 +41,7 @@
         """Send the final answer of a call; False if it has had one already."""
         if not self._close_call(call):
             return False
-        self.shared.counters[f"answered_{kind}"] += 1
-        self.shared.result_counts.count_result(call.klass, kind)
+        self.count_answer(call.klass, kind)
         log.info("%016x answered: %s", call.call_id, kind)
         if isinstance(message, Answer):
             call.caller.had_call = True
@@ -52,6 +51,12 @@
             self.shared.counters["answers_undeliverable"] += 1
         return True
 
+    def count_answer(self, klass: int | None, kind: str) -> None:
+        """Count a final answer to a set-up; `klass` is None if its class is not known."""
+        self.shared.counters[f"answered_{kind}"] += 1
+        if klass is not None:
+            self.shared.result_counts.count_result(klass, kind)
+
     def close_unanswered(self, call: Call) -> None:
         """Close a call whose caller has left: no answer is owed."""
         if self._close_call(call):
--- a/wickstep/net/bulletin_connection.py
+++ b/wickstep/net/bulletin_connection.py
@@ -52,13 +52,13 @@
 
     def __init__(self, hold_s: float, times: AnswerTimes, on_overdue: Callable[[], bool]) -> None:
         """`on_overdue` is called once, and returns whether the answer is still waited for."""
-        self.asked_at = time.monotonic()
+        self._asked_at = time.monotonic()
         self._hold_s, self._times, self._on_overdue = hold_s, times, on_overdue
         self._is_overdue = False
 
     def remaining_s(self) -> float:
         """How long to wait for the next bytes; BadResponse if that time is over."""
-        elapsed_s = time.monotonic() - self.asked_at
+        elapsed_s = time.monotonic() - self._asked_at
         if not self._is_overdue:
             left_s = self._hold_s + self._times.grace_s - elapsed_s
             if left_s > 0:
@@ -72,7 +72,7 @@
 
     def end(self) -> None:
         """The answer is complete."""
-        self._times.note(time.monotonic() - self.asked_at, self._hold_s)
+        self._times.note(time.monotonic() - self._asked_at, self._hold_s)
 
 
 class BulletinConnection:
--- a/wickstep/net/codec.py
+++ b/wickstep/net/codec.py
@@ -37,9 +37,7 @@
 MAX_TENANT_BYTES = 255  # a tenant's name is kept as long as its call
 ADVISED_SERVER_LIMIT = 2**31  # a centre may advise servers of numbers below this
 MAX_ADVICE_CHARACTERS = 16  # of such a number: float() would accept thousands of digits
-MAX_PARAMETERS = (
-    64  # in one message, several times as many as there are codes: empty ones cost most for a byte
-)
+MAX_PARAMETERS = 64  # in one message, several times the number of codes: empty ones cost most for a byte
 MAX_FIGURES = 64  # in one parameter: a message full of them would take 25 times its size in memory
 
 
--- a/wickstep/net/send.py
+++ b/wickstep/net/send.py
@@ -48,9 +48,9 @@
             min(expires_at, now + server.reply_timeout)
             if server is not None and server.reply_timeout
             else expires_at,
+            sent_to=action.server,
         )
         call.attempt_count += 1
-        attempt.sent_to = action.server
         if (
             server is None
             or call.attempt is not None
@@ -109,9 +109,13 @@
         """Send the attempts that need not wait any longer for the end of an earlier one of their call."""
         held, server.held = server.held, []
         for attempt in held:
-            self.send_set_up(attempt)
-            if attempt.link is not None:
-                attempt.sent_at = self.shared.now
+            self._send_after_wait(attempt)
+
+    def _send_after_wait(self, attempt: Attempt) -> None:
+        """Send an attempt that waited for the end of an earlier one: its time counts from now on."""
+        self.send_set_up(attempt)
+        if attempt.link is not None:
+            attempt.sent_at = self.shared.now
 
     def _must_await_release(self, attempt: Attempt) -> bool:
         """Whether an earlier attempt may stand at another server, which has yet to receive its release.
@@ -137,9 +141,7 @@
             if self._is_release_received(attempt.call, server):
                 server.awaiting_release.remove(attempt)
                 attempt.call.may_stand_at = attempt.awaits = None
-                self.send_set_up(attempt)
-                if attempt.link is not None:
-                    attempt.sent_at = self.shared.now
+                self._send_after_wait(attempt)
 
     def end_release_waits(self, server: Server) -> None:
         """No connection to this server comes up: attempts elsewhere wait no longer for its release."""
--- a/wickstep/net/server_connections.py
+++ b/wickstep/net/server_connections.py
@@ -161,9 +161,7 @@
         """Close connections until one more is permitted."""
         while len(server.all_links()) >= MAX_LINKS:
             link = self._choose_surplus_link(server)
-            for other_links in (server.replaced_links, server.lingering_links, server.audit_links):
-                if link in other_links:
-                    other_links.remove(link)
+            server.forget_other_link(link)
             link.close()  # its attempts end when the end of the connection is received
             self.audit.link_lost(server.host)
 
@@ -241,9 +239,7 @@
         """End the attempts in flight on a closed connection; calls that stand do not depend on it."""
         if server.link is link:
             server.link, server.link_lost = None, True
-        for other_links in (server.replaced_links, server.lingering_links, server.audit_links):
-            if link in other_links:
-                other_links.remove(link)
+        server.forget_other_link(link)
         if link.process_ended:
             end = LinkEnd.PROCESS_ENDED
         if end is LinkEnd.UNNOTICED:
@@ -405,7 +401,7 @@
 
     def _links_before(self, server: Server, cutoff: int) -> list[Link]:
         """The connections to the process that served until `cutoff`."""
-        stale_links = [*server.replaced_links, *server.lingering_links, *server.audit_links]
+        stale_links = server.other_links()
         # A connection opened after the new process's start leads to that process already.
         if server.link and (server.state is ServerState.GONE or server.linked_at <= cutoff):
             stale_links.append(server.link)
--- a/wickstep/net/state.py
+++ b/wickstep/net/state.py
@@ -28,7 +28,8 @@
 
 log = logging.getLogger("wickstep.net.softswitch")  # of all stages: `wickstep spread` reads its lines
 
-UNREPEATABLE_DIVISOR = 4  # of the ids of ended calls that are remembered, for those that may not run again
+# Of the ids of past calls that are remembered, for each kind of them that is remembered beside these.
+PAST_IDS_DIVISOR = 4
 MIN_REDIAL_DELAY = 250 * MS  # between two connects to one server; doubled by each that fails
 
 
@@ -72,7 +73,17 @@
     def all_links(self) -> list[Link]:
         """Connections to it, those included that are only read."""
         current = [self.link] if self.link is not None else []
-        return [*current, *self.replaced_links, *self.lingering_links, *self.audit_links]
+        return [*current, *self.other_links()]
+
+    def other_links(self) -> list[Link]:
+        """Connections besides the present one."""
+        return [*self.replaced_links, *self.lingering_links, *self.audit_links]
+
+    def forget_other_link(self, link: Link) -> None:
+        """Remove a connection that is not the present one."""
+        for links_of_a_kind in (self.replaced_links, self.lingering_links, self.audit_links):
+            if link in links_of_a_kind:
+                links_of_a_kind.remove(link)
 
     def has_spoken_since(self, link: Link) -> bool:
         """Whether the server has spoken on a connection that was opened later than this one."""
@@ -150,7 +161,7 @@
         # Servers that may take a connection for open which has ended here, by host.
         self.hosts_with_lost_links: set[str] = set()
         # Ids of calls that may have run at a server and whose class forbids a second run.
-        self.unrepeatable_ids = CallIdCache(config.max_past_ids // UNREPEATABLE_DIVISOR)
+        self.unrepeatable_ids = CallIdCache(config.max_past_ids // PAST_IDS_DIVISOR)
         self.recorder = CallRecorder()  # records each call in the journal, if one is kept
 
     def born_ms(self, server: Server) -> int:
--- a/wickstep/net/take_in.py
+++ b/wickstep/net/take_in.py
@@ -125,9 +125,8 @@
 
         It is not refused: that would tell the caller that nothing has run.
         """
-        self.shared.counters["answered_failed"] += 1
+        self.book.count_answer(klass, "failed")
         self.shared.counters["set_ups_not_run_again"] += 1
-        self.shared.result_counts.count_result(klass, "failed")
         log.info("%016x failed: it may have run before, and its class forbids a second run", message.call)
         self.book.record_ended_call(message.call)
         link.send(Release(message.call, Reason.FAILED))
@@ -139,9 +138,7 @@
         once.
         """
         log.info("rejected malformed set-up: %s", error)
-        self.shared.counters["answered_malformed"] += 1
-        if message.klass in self.shared.config.classes:
-            self.shared.result_counts.count_result(self.shared.config.classes[message.klass], "malformed")
+        self.book.count_answer(self.shared.config.classes.get(message.klass), "malformed")
         if message.call in link.calls:
             self.close_link(link)
             return
