Share the tests' look at a server's state and the bulletin's answer on the wire

Need: two test files had a function of their own for what the softswitch keeps of a server, and the bulletin's answer was written out in three places.

Change: server_state and encode_list_answer stand in tests/test_softswitch.py, with the other stand-ins. The assertions are as they were.

--- a/tests/test_address_successor.py
+++ b/tests/test_address_successor.py
@@ -7,7 +7,6 @@
 import pytest
 
 from wickstep.net import Answer, GroupState, Reason, Release, SetUp
-from wickstep.net.state import Server as ServerState
 
 from .test_softswitch import (
     LINES,
@@ -20,6 +19,7 @@
     list_line,
     replace_connection,
     rig,
+    server_state,
     set_up_call,
     wait_for,
 )
@@ -31,18 +31,12 @@
     """The process of s-1 ends and another one takes its address; its connection, and its start in Unix ms."""
     peer.reset()
     started_ms = time.time_ns() // 1_000_000
-    assert rig.switch is not None
-    state = rig.switch.shared.servers["s-1"]
+    state = server_state(rig)
     new_peer = server.accept()
     wait_for(lambda: state.link is not None and state.link.has_spoken)
     return new_peer, started_ms
 
 
-def server_state(rig: Rig, host: str) -> ServerState:
-    assert rig.switch is not None
-    return rig.switch.shared.servers[host]
-
-
 @pytest.mark.parametrize("order", ["together", "the new one first"])
 def test_calls_of_a_new_process_go_on_when_the_list_tells_of_it(connected: ConnectedRig, order: str) -> None:
     """Guards against callers told that their call is over, which stands at a process that is well."""
--- a/tests/test_bulletin.py
+++ b/tests/test_bulletin.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import json
 import socket
 import threading
 from collections.abc import Iterator
@@ -15,7 +14,7 @@
 from wickstep.net.bulletin_connection import GRACE_FACTOR, MAX_GRACE_S, MIN_GRACE_S, AnswerTimes
 from wickstep.recovery import jitter
 
-from .test_softswitch import TIMEOUT_S, make_list_event
+from .test_softswitch import TIMEOUT_S, encode_list_answer, make_list_event
 
 
 class Request:
@@ -27,8 +26,7 @@
         self.path = sock.recv(4096).split(b" ")[1].decode()
 
     def answer(self, *numbers: int) -> None:
-        body = json.dumps({"no": max(numbers), "items": [make_list_event(n, f"s-{n}") for n in numbers]})
-        self.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        self.sock.sendall(encode_list_answer(max(numbers), [make_list_event(n, f"s-{n}") for n in numbers]))
 
     def next(self) -> Request:
         """The next request on the same connection."""
--- a/tests/test_message_cost.py
+++ b/tests/test_message_cost.py
@@ -50,9 +50,8 @@
     splitter = codec.Splitter()
     messages = feed_in_pieces(splitter, raw, 1)
     assert [type(message) for message in messages] == [SetUp]
-    assert (
-        parameter_reads.reads == 2 * codec.MAX_PARAMETERS
-    )  # once as they come, and once to read the message
+    # Once as they come, and once to read the message.
+    assert parameter_reads.reads == 2 * codec.MAX_PARAMETERS
 
 
 @pytest.mark.parametrize("piece", [1, 24, codec.MAX_MESSAGE])
--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -13,7 +13,6 @@
 from wickstep import brain
 from wickstep import interface as api
 from wickstep.net import Answer, GroupState, Reason, Release, ReleaseComplete, SetUp
-from wickstep.net.state import Server as ServerState
 from wickstep.net.units import MS
 
 from .test_softswitch import (
@@ -27,6 +26,7 @@
     keep_connections,
     list_line,
     rig,
+    server_state,
     set_up_call,
     wait_for,
     wait_for_connection,
@@ -39,11 +39,6 @@
 FIRST, SECOND_RUN = b"description of the first run", b"description of the second run"
 
 
-def server_state(rig: Rig) -> ServerState:
-    assert rig.switch is not None
-    return rig.switch.shared.servers["s-1"]
-
-
 def begin_second_attempt(rig: Rig, peer: Peer, caller: Peer) -> int:
     """A call whose first attempt was cancelled, and whose second one at the server has begun."""
     call = rig.call(caller)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -44,6 +44,7 @@
     list_line,
     replace_connection,
     rig,
+    server_state,
     set_up_call,
     wait_for,
 )
@@ -486,15 +487,13 @@
     """Guards against calls never released: a server goes on, and speaks where nobody listens."""
     rig, server, server_peer, caller = connected
     own, repeated = (set_up_call(rig, server_peer, caller) for _ in range(2))
-    assert rig.switch is not None
-    state = rig.switch.shared.servers["s-1"]
+    state = server_state(rig)
     monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", 20 * MS)
     # The process hangs: its machine accepts connections for it, one after the other, and nothing is said.
     wait_for(lambda: counter(rig, "dials") >= 2 * server_connections.MAX_LINKS)
     monkeypatch.setattr(server_connections, "SILENCE_TIMEOUT", NEVER)
     assert len(state.all_links()) <= server_connections.MAX_LINKS
-    server_peer.send(
-        Release(own, Reason.CLEARED)
-    )  # on the connection of its set-up, still open to the server
-    server.accept().send(Release(repeated, Reason.CLEARED))  # on the one that has waited for longest
+    # On the connection of its set-up, still open to the server, and on the one that has waited for longest.
+    server_peer.send(Release(own, Reason.CLEARED))
+    server.accept().send(Release(repeated, Reason.CLEARED))
     assert {caller.receive(Release).call for _ in range(2)} == {own, repeated}
--- a/tests/test_softswitch.py
+++ b/tests/test_softswitch.py
@@ -151,8 +151,13 @@
             while b"\r\n\r\n" in (request := sock.recv(4096)):
                 number = int(request.split(b"after=")[1].split(b"&")[0])
                 items = self.after(number)
-                body = json.dumps({"no": items[-1]["no"] if items else number, "items": items})
-                sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                sock.sendall(encode_list_answer(items[-1]["no"] if items else number, items))
+
+
+def encode_list_answer(last: int, items: list[dict[str, Any]]) -> bytes:
+    """An answer of the bulletin with these events, on the wire."""
+    body = json.dumps({"no": last, "items": items})
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
 
 
 def list_line(
@@ -248,6 +253,12 @@
     return rig.switch.shared.counters[name]
 
 
+def server_state(rig: Rig, host: str = "s-1") -> state.Server:
+    """What the softswitch keeps of a setup server."""
+    assert rig.switch is not None
+    return rig.switch.shared.servers[host]
+
+
 def connect_one_server(rig: Rig) -> ConnectedRig:
     server = Server()
     rig.open(list_line(server, "s-1"))
@@ -1291,8 +1302,7 @@
     def answer() -> None:
         sock = old_bulletin.accept()[0]
         sock.recv(4096)
-        body = json.dumps({"no": 4, "items": [{"no": 4, "roster": {"whole": False, "hosts": []}}]})
-        sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        sock.sendall(encode_list_answer(4, [{"no": 4, "roster": {"whole": False, "hosts": []}}]))
 
     threading.Thread(target=answer, daemon=True).start()
     with pytest.raises(bulletin_connection.BadResponse):
