Let the test of repeated ids see a set-up that reached the server before another

Need: the check that the server had had no second set-up looked at what was kept after a later message had been received; what comes before that message is dropped, so that it could not fail. The test stood on the answer to the caller alone.

Change: the release of the first attempt is confirmed first, so that nothing else holds a second one back, and the first set-up after it must be the other call's.

Measured: with the answer to the caller left out of the test and the softswitch's own check taken out, the old check passes in ten of ten cases and the new one fails; with the softswitch as it is the test passes in three of three runs.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -6,7 +6,16 @@
 
 from wickstep.net import Note, Reason, Release, ReleaseComplete, SetUp
 
-from .test_softswitch import ConnectedRig, Peer, Rig, connect_one_server, counter, rig, set_up_call, wait_for
+from .test_softswitch import (
+    ConnectedRig,
+    Peer,
+    Rig,
+    connect_one_server,
+    counter,
+    rig,
+    server_state,
+    wait_for,
+)
 from .test_wire import CONF
 
 __all__ = ["rig"]  # fixture
@@ -48,10 +57,13 @@
     call = rig.call(caller)
     server_peer.receive(SetUp, call)
     leave(rig, caller, call, way)
+    server_peer.receive(Release, call)
+    server_peer.send(ReleaseComplete(call))
+    wait_for(lambda: not server_state(rig).releases)  # so that nothing else holds a second attempt back
     assert send_again(rig, call).receive(Release, call).reason is Reason.FAILED
     other_caller = rig.caller()
-    set_up_call(rig, server_peer, other_caller)  # the server has had nothing else before it
-    assert not [message for message in server_peer.received if message.call == call]
+    other_call = rig.call(other_caller)
+    assert server_peer.receive(SetUp).call == other_call  # the first call is not there before it
 
 
 @pytest.mark.parametrize("way", WAYS_TO_LEAVE)
